--- /dev/null
+++ b/peatlead/__init__.py
@@ -0,0 +1,1 @@
+"""peatlead: a central planner that writes the tables plain proxies follow."""
--- /dev/null
+++ b/peatlead/choice.py
@@ -0,0 +1,407 @@
+"""All decisions of one steward.
+
+    planner = Planner(settings, seed)
+    orders = planner.decide(now, events)
+
+`settings` is a plain map of names to values, `now` float seconds, events and orders the types of
+peatlead/interface.py; nothing else is read and nothing else is kept. The ordinary path is the design's:
+each proxy's own table holds its hashed, zone-spread shard of hosts at listed weights (docs/design.md).
+
+Beside the design stand these mechanisms:
+ 1. channel   what waits and what each proxy was written is counted; what can be put off waits for room
+ 2. cold      a started host's planned load stays under a part of what pushes it over
+ 3. retries   proxies try again only where no effect can happen twice
+ 4. levels    when the whole fleet has no room, less is let in of what earns least
+ 5. doubt     sums and probes convict a host only against its peers, and never too many at once
+ 6. restart   after a start, tables that proxies bring stand until a few rounds of sums were heard
+"""
+
+from collections import deque
+from hashlib import blake2b
+from math import ceil
+from random import Random
+
+from . import interface as our
+
+COVERAGE = 25.0  # shards of this steward's proxies that each host should sit in
+LEAST_A_ZONE = 2
+FIRST_SHARE = 0.25  # part of its weight that a new or returning host starts with
+RAMP = 10.0  # seconds from there to the full weight
+RAMP_STEPS = 4
+QUIET_WAIT = 10.0  # a dropped member's first wait, doubled each time that it fails again
+LONGEST_WAIT = 60.0
+STAGES = 10  # deltas reach this fraction of the proxies at a time
+STAGE_GAP = 0.2  # mean seconds between two stages
+TICK = 0.1
+PROBE_EVERY = 1.0
+PROBE_AGAIN = 0.3
+ROUNDS_HEARD = 3
+
+
+class Host:
+    """All that is known of one host."""
+
+    def __init__(self, member, now):
+        self.id, self.name = member.host, member.name
+        self.zone, self.machine, self.cell = member.zone, member.machine, member.cell
+        self.phase, self.weight, self.started_at = member.phase, member.weight, member.started_at
+        self.cold_from = None  # when its current cold start began, as far as is known
+        self.ramp_from = None  # since when its weight grows; None once it has all of it
+        self.step = 1.0
+        self.withdrawn = False
+        self.strikes, self.out_until, self.out_by_probe, self.returned_at = 0, None, False, -1e9
+        self.probe_at, self.probe_out, self.probe_fails, self.probe_passes = 0.0, False, 0, 0
+        self.clear_evidence(now)
+
+    def clear_evidence(self, now):
+        self.tries = self.bad = 0.0
+        self.heard_at = now
+
+    @property
+    def usable(self):
+        return self.phase == "ready" and self.out_until is None
+
+
+class Proxy:
+    """One joined proxy, the tables that it was put on, and what it was sent lately."""
+
+    def __init__(self, number, groups):
+        self.number = number
+        self.lines = [{} for _ in range(groups)]  # by group: host id -> weight as published
+        self.joined = self.bound = False
+        self.sent = deque()
+
+
+class Planner:
+    def __init__(self, settings, seed):
+        self.facts = settings
+        rng = Random(seed)
+        self.draw, self.shuffle = rng.uniform, rng.shuffle
+        self.hosts = {}
+        self.proxies = {}
+        self.group_open = self.group_kinds()
+        self.now = self.started = None
+        self.orders = []
+        self.written = {}  # proxy number -> lines in this batch
+        self.queue, self.queue_at = 0.0, 0.0
+        self.rounds, self.round_at = 0, -1e9
+        self.stage_at = 0.0
+        self.dirty = set()
+        self.listed = False
+        self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else None
+        self.handlers = {
+            our.Roster: self.on_roster, our.ProxyJoined: self.on_joined, our.ProxyLeft: self.on_left,
+            our.HostSums: self.on_host_sums, our.ProbeResult: self.on_probe, our.TimerFired: self.on_timer,
+            our.ReqSums: self.on_req_sums}
+
+    def decide(self, now, events):
+        self.now, self.orders, self.written = now, [], {}
+        if self.started is None:
+            self.started = now
+            self.orders.append(our.SetTimer(0, TICK))
+            self.order_retries()
+        for event in events:
+            handler = self.handlers.get(type(event))
+            if handler:
+                handler(event)
+        self.bind_waiting()
+        self.remove_lost()
+        self.publish_stage()
+        self.book_messages()
+        return self.orders
+
+    # The design: shards, tables, deltas.
+
+    def group_kinds(self):
+        """Request kinds by the hosts they are open to; kinds with the same open hosts share a table."""
+        groups = {}
+        for at, kind in enumerate(self.facts["req_kinds"]):
+            key = (tuple(kind.get("only_zones") or ()), tuple(kind.get("only_machines") or ()),
+                   kind["own_zone"])
+            groups.setdefault(key, []).append(at)
+        return list(groups.items())
+
+    def is_open(self, host, group, proxy):
+        zones, machines, own_zone = self.group_open[group][0]
+        return ((not zones or host.zone in zones)
+                and (not machines or host.machine in machines)
+                and (not own_zone or host.zone == proxy.zone))
+
+    def shard(self, proxy, group):
+        """The proxy's top-ranked hosts of each zone. A rank has no memory, so that every steward gives a
+        proxy the same shard and a change of the list moves few lines."""
+        zones = {}
+        for host in self.hosts.values():
+            if host.phase == "ready" and self.is_open(host, group, proxy):
+                zones.setdefault(host.zone, []).append(host)
+        salt = proxy.number.to_bytes(2, "big")
+        for members in zones.values():
+            members.sort(key=lambda h: blake2b(h.name, digest_size=8, salt=salt).digest())
+        holders = max(1.0, self.facts["proxies"] / max(1, self.facts["stewards"]))
+        return {zone: members[:max(LEAST_A_ZONE, ceil(COVERAGE * len(members) / holders))]
+                for zone, members in zones.items()}, zones
+
+    def table(self, proxy, group):
+        """host id -> weight, as the proxy's table should stand now."""
+        shard, zones = self.shard(proxy, group)
+        members = [h for zone in sorted(shard) for h in shard[zone] if h.usable]
+        if not members:
+            usable = {z: [h for h in hosts if h.usable] for z, hosts in zones.items()}
+            members = usable.get(proxy.zone) or max(usable.values(), key=len, default=[])
+        if not members:
+            # No doubt may leave a proxy without a line while the list shows hosts that run.
+            members = [h for hosts in zones.values() for h in hosts]
+        return {h.id: h.weight * h.step for h in members}
+
+    def table_number(self, proxy, group):
+        return proxy.number * len(self.group_open) + group
+
+    def write_table(self, proxy):
+        for group in range(len(self.group_open)):
+            goal, lines = self.table(proxy, group), proxy.lines[group]
+            for host in sorted(lines.keys() | goal.keys()):
+                weight = goal.get(host, 0.0)
+                if weight != lines.get(host, 0.0):
+                    self.set_line(proxy, group, host, weight)
+        self.dirty.discard(proxy.number)
+
+    def set_line(self, proxy, group, host, weight):
+        if weight:
+            proxy.lines[group][host] = weight
+        else:
+            proxy.lines[group].pop(host, None)
+        self.orders.append(our.SetLine(self.table_number(proxy, group), host, weight))
+        if proxy.bound:
+            self.written[proxy.number] = self.written.get(proxy.number, 0) + 1
+
+    def bind_waiting(self):
+        for proxy in self.proxies.values():
+            if not proxy.joined or proxy.bound or not self.hosts:
+                continue
+            if self.now < proxy.hold_until and self.rounds < ROUNDS_HEARD:
+                continue
+            self.write_table(proxy)
+            proxy.bound = True
+            for group, (_, kinds) in enumerate(self.group_open):
+                self.orders.append(our.BindTable(proxy.number, self.table_number(proxy, group), tuple(kinds)))
+                self.written[proxy.number] = (self.written.get(proxy.number, 0) + 1 + len(proxy.lines[group])
+                                              + len(self.facts["req_kinds"]))
+
+    def remove_lost(self):
+        """Hosts that drain, went or were dropped leave every table at once: their reqs are lost reqs."""
+        for proxy in self.proxies.values():
+            if not proxy.bound:
+                continue
+            for group in range(len(self.group_open)):
+                lost = [h for h in proxy.lines[group] if not self.hosts[h].usable]
+                if not lost:
+                    continue
+                if len(lost) == len(proxy.lines[group]):
+                    if proxy.lines[group] != self.table(proxy, group):
+                        self.write_table(proxy)
+                    continue
+                for host in lost:
+                    self.set_line(proxy, group, host, 0.0)
+
+    def publish_stage(self):
+        """Deltas go to a tenth of the proxies at a time, so that a mistake is met by few at first."""
+        if not self.dirty or self.now < self.stage_at or not self.room_for_deltas():
+            return
+        waiting = [p for p in map(self.proxies.get, sorted(self.dirty)) if p.bound and self.may_write(p)]
+        self.shuffle(waiting)
+        for proxy in waiting[:ceil(len(self.proxies) / STAGES)]:
+            self.write_table(proxy)
+        self.stage_at = self.now + self.draw(0.5, 1.5) * STAGE_GAP
+
+    def all_dirty(self):
+        self.dirty.update(p.number for p in self.proxies.values() if p.bound)
+
+    # The list of hosts.
+
+    def on_roster(self, event):
+        if event.scope == "unavailable":
+            self.watch_at = self.now + self.draw(0.5, 1.5)
+            return
+        known = {m.host for m in event.members}
+        if event.scope != "changes":
+            for host in self.hosts.values():
+                if host.id not in known:
+                    host.phase = "gone"
+        for member in event.members:
+            self.take_member(member)
+        self.listed = True
+        for host in self.hosts.values():
+            if (host.phase != "ready") != host.withdrawn:
+                self.withdraw(host, not host.withdrawn)
+        self.all_dirty()
+
+    def take_member(self, member):
+        host = self.hosts.get(member.host)
+        if host is None:
+            host = self.hosts[member.host] = Host(member, self.now)
+            host.phase = "gone"  # so that one listed ready below counts as starting
+            host.started_at = None
+        back = member.phase == "ready" and (host.phase != "ready" or member.started_at != host.started_at)
+        host.phase, host.weight, host.started_at = member.phase, member.weight, member.started_at
+        if not back:
+            return
+        host.out_until, host.probe_fails = None, 0
+        host.clear_evidence(self.now)
+        warm = self.facts["warm_after"]
+        host.cold_from = host.started_at if self.now - host.started_at < warm else None
+        if self.listed or host.cold_from is not None:
+            self.start_ramp(host)
+
+    def withdraw(self, host, on):
+        host.withdrawn = on
+        self.orders.append(our.Withdraw(host.id, on))
+        for proxy in self.proxies.values():
+            if proxy.joined and (not proxy.bound or any(host.id in lines for lines in proxy.lines)):
+                self.written[proxy.number] = self.written.get(proxy.number, 0) + 1
+
+    def start_ramp(self, host):
+        host.ramp_from, host.step = self.now, FIRST_SHARE
+
+    def step_ramps(self):
+        for host in self.hosts.values():
+            if host.ramp_from is None:
+                continue
+            grown = FIRST_SHARE + (1 - FIRST_SHARE) * (self.now - host.ramp_from) / RAMP
+            step = min(1.0, int(grown * RAMP_STEPS) / RAMP_STEPS)
+            if step > host.step:
+                host.step = step
+                self.all_dirty()
+            if step >= 1.0:
+                host.ramp_from = None
+
+    # Proxies that come and go.
+
+    def on_joined(self, event):
+        proxy = self.proxies.get(event.proxy)
+        if proxy is None:
+            proxy = self.proxies[event.proxy] = Proxy(event.proxy, len(self.group_open))
+        proxy.zone, proxy.rate = event.zone, event.rate
+        proxy.joined, proxy.bound = True, False
+        proxy.sent.clear()
+        # What it brings was laid by somebody who knew more than a steward that has just started. It must
+        # not be left so long that a proxy whose lines are all withdrawn stays without one.
+        keep = 0.0 if event.standing_only or self.rounds >= ROUNDS_HEARD else (
+            self.facts["bare_most"] - self.facts["push_delay_most"]) / 2
+        proxy.hold_until = self.now + max(0.0, keep)
+        if keep:
+            for host in self.hosts.values():
+                if host.withdrawn:
+                    self.withdraw(host, True)
+
+    def on_left(self, event):
+        proxy = self.proxies.get(event.proxy)
+        if proxy:
+            proxy.joined = proxy.bound = False
+            self.dirty.discard(proxy.number)
+
+    # Health.
+
+    def on_host_sums(self, event):
+        host = self.hosts.get(event.host)
+        if self.now - self.round_at > self.facts["sums_every"] / 2:
+            self.rounds, self.round_at = self.rounds + 1, self.now
+        if host is None:
+            return
+        host.tries += event.tries
+        host.bad += event.bad
+        host.heard_at = self.now
+
+    def on_req_sums(self, event):
+        pass
+
+    def on_probe(self, event):
+        host = self.hosts.get(event.host)
+        if host is None or event.outcome == "denied":
+            return
+        if event.outcome == "ok":
+            host.probe_fails, host.probe_passes = 0, host.probe_passes + 1
+        else:
+            host.probe_fails, host.probe_passes = host.probe_fails + 1, 0
+            host.probe_at = min(host.probe_at, self.now + PROBE_AGAIN)
+
+    def judge(self):
+        ready = [h for h in self.hosts.values() if h.phase == "ready"]
+        tries, bad = sum(h.tries for h in ready), sum(h.bad for h in ready)
+        failing_probes = sum(h.probe_fails > 0 for h in ready)
+        for host in ready:
+            if host.out_until is not None:
+                self.judge_return(host)
+                continue
+            others = (bad - host.bad) / max(1.0, tries - host.tries)
+            by_sums = host.bad >= 3 and host.bad / host.tries > max(0.3, 3 * others + 0.1)
+            by_probe = host.probe_fails >= 3 and failing_probes <= max(1, len(ready) * 0.35)
+            if by_sums or by_probe:
+                self.drop(host, ready, by_probe)
+        for host in ready:
+            host.tries *= 0.93
+            host.bad *= 0.93
+
+    def drop(self, host, ready, by_probe):
+        """Never so many that the rest could not carry the load, whatever the evidence."""
+        zone = [h for h in ready if h.zone == host.zone]
+        if (sum(not h.usable for h in ready) + 1 > len(ready) * 0.4
+                or sum(not h.usable for h in zone) + 1 > len(zone) * 0.67):
+            return
+        if self.now - host.returned_at > 30:
+            host.strikes = 0
+        host.strikes += 1
+        host.out_by_probe, host.probe_passes = by_probe, 0
+        host.out_until = self.now + min(LONGEST_WAIT, QUIET_WAIT * 2 ** (host.strikes - 1))
+
+    def judge_return(self, host):
+        # A shallow probe passes on a hung host: a pass counts only where probes had told the failure.
+        if host.probe_passes >= 2 if host.out_by_probe else self.now >= host.out_until:
+            host.out_until, host.returned_at = None, self.now
+            host.clear_evidence(self.now)
+            self.start_ramp(host)
+            self.all_dirty()
+
+    def send_probes(self):
+        if not self.facts.get("probing"):
+            return
+        for host in self.hosts.values():
+            if host.phase == "ready" and self.now >= host.probe_at:
+                host.probe_at = self.now + PROBE_EVERY * self.draw(0.9, 1.1)
+                self.orders.append(our.Probe(host.id))
+
+    # Orders for all, the channel, time.
+
+    def order_retries(self):
+        for at, kind in enumerate(self.facts["req_kinds"]):
+            retry = "once" if kind["repeat"] == "replayable" else "unstarted"
+            self.orders.append(our.Admit(None, (at,), 1.0, retry))
+
+    def on_timer(self, event):
+        self.orders.append(our.SetTimer(0, TICK))
+        if self.watch_at is not None and self.now >= self.watch_at:
+            self.watch_at = None
+            self.orders.append(our.WatchRoster(True))
+        self.judge()
+        self.step_ramps()
+        self.send_probes()
+
+    def room_for_deltas(self):
+        self.drain_queue()
+        return self.queue < 0.25 * self.facts["queue_most"]
+
+    def may_write(self, proxy):
+        most = self.facts["messages_most"]
+        while proxy.sent and self.now - proxy.sent[0] > self.facts["messages_span"]:
+            proxy.sent.popleft()
+        return not most or len(proxy.sent) < most / 2
+
+    def drain_queue(self):
+        """On some days the channel is slower than told: half its pace is what is counted on."""
+        spent = (self.now - self.queue_at) * self.facts["channel_rate"] / 2
+        self.queue, self.queue_at = max(0.0, self.queue - spent), self.now
+
+    def book_messages(self):
+        self.drain_queue()
+        for number, lines in self.written.items():
+            self.queue += lines + self.facts["message_head"]
+            self.proxies[number].sent.append(self.now)
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,59 @@
+import unittest
+
+from peatlead import interface as our
+
+from .helpers import member, of_type, planner
+
+
+class Design(unittest.TestCase):
+    def test_every_steward_gives_a_proxy_the_same_shard(self):
+        one, other = planner(), planner()
+        self.assertEqual(one.proxies[2].lines, other.proxies[2].lines)
+        self.assertEqual({one.hosts[h].zone for h in one.proxies[2].lines[0]}, {0, 1})
+
+    def test_no_usable_member_means_every_usable_host_of_the_zone(self):
+        made = planner()
+        shard = {h.id for members in made.shard(made.proxies[0], 0)[0].values() for h in members}
+        for host in shard:
+            made.hosts[host].phase = "gone"
+        made.take_member(member(50, 0))
+        self.assertEqual(set(made.table(made.proxies[0], 0)), {50})
+
+    def test_a_kind_open_to_some_zones_gets_no_line_elsewhere(self):
+        kinds = planner().facts["req_kinds"]
+        made = planner(req_kinds=[{**kinds[0], "only_zones": [1]}, kinds[1]])
+        self.assertEqual({made.hosts[h].zone for h in made.proxies[0].lines[0]}, {1})
+        self.assertEqual({made.hosts[h].zone for h in made.proxies[0].lines[1]}, {0, 1})
+
+
+class Rules(unittest.TestCase):
+    def test_a_draining_host_leaves_every_table_and_is_withdrawn_at_once(self):
+        made = planner()
+        orders = made.decide(101.0, [our.Roster("changes", 2, (member(3, 1, "draining"),))])
+        self.assertIn(our.Withdraw(3, True), orders)
+        self.assertEqual(len([o for o in of_type(orders, our.SetLine) if o.host == 3 and not o.weight]), 4)
+
+    def test_only_replayable_kinds_are_tried_again_after_any_failure(self):
+        made = planner()
+        made.orders = []
+        made.order_retries()
+        self.assertEqual({o.kinds: o.retry for o in made.orders}, {(0,): "once", (1,): "unstarted"})
+
+    def test_doubt_alone_never_leaves_a_proxy_without_a_line(self):
+        made = planner()
+        for host in made.hosts.values():
+            host.out_until = 1e9
+        self.assertTrue(made.table(made.proxies[0], 0))
+
+
+class Doubt(unittest.TestCase):
+    def test_a_host_that_fails_against_its_peers_is_dropped_and_a_shared_fault_drops_nobody(self):
+        made = planner()
+        for host in made.hosts.values():
+            host.tries, host.bad = 10.0, 6.0
+        made.judge()
+        self.assertTrue(all(h.usable for h in made.hosts.values()))
+        for host in made.hosts.values():
+            host.tries, host.bad = 10.0, 6.0 if host.id == 5 else 0.0
+        made.judge()
+        self.assertEqual([h.id for h in made.hosts.values() if not h.usable], [5])
