--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -373,7 +373,7 @@
 
     def order_retries(self):
         for at, kind in enumerate(self.facts["req_kinds"]):
-            retry = "once" if kind["repeat"] == "replayable" else "unstarted"
+            retry = "unstarted"
             self.orders.append(our.Admit(None, (at,), 1.0, retry))
 
     def on_timer(self, event):
