--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -36,6 +36,11 @@
 PROBE_EVERY = 1.0
 PROBE_AGAIN = 0.3
 ROUNDS_HEARD = 3
+BAD_MUCH = 0.1  # part of its tries that fails at the middle host of a fleet without room
+LATE_MUCH = 0.7  # or its answers take this part of the response target
+CUT = 0.8  # what one round without room leaves of the share let in
+REGAIN = 0.05  # and what one round with room gives back
+LEAST_LET_IN = 0.2
 
 
 class Host:
@@ -55,6 +60,7 @@
 
     def clear_evidence(self, now):
         self.tries = self.bad = 0.0
+        self.mean_time, self.report = None, {}
         self.heard_at = now
 
     @property
@@ -86,6 +92,8 @@
         self.queue, self.queue_at = 0.0, 0.0
         self.rounds, self.round_at = 0, -1e9
         self.stage_at = 0.0
+        self.reqs = [1.0] * len(settings["req_kinds"])
+        self.room, self.level_at, self.levels = 1.0, 0.0, None
         self.dirty = set()
         self.listed = False
         self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else None
@@ -99,7 +107,7 @@
         if self.started is None:
             self.started = now
             self.orders.append(our.SetTimer(0, TICK))
-            self.order_retries()
+            self.order_levels()
         for event in events:
             handler = self.handlers.get(type(event))
             if handler:
@@ -310,9 +318,12 @@
         host.tries += event.tries
         host.bad += event.bad
         host.heard_at = self.now
+        if event.mean_time:
+            host.mean_time = event.mean_time
+        host.report = event.report or host.report
 
     def on_req_sums(self, event):
-        pass
+        self.reqs[event.kind] += event.reqs
 
     def on_probe(self, event):
         host = self.hosts.get(event.host)
@@ -371,10 +382,54 @@
 
     # Orders for all, the channel, time.
 
-    def order_retries(self):
-        for at, kind in enumerate(self.facts["req_kinds"]):
-            retry = "unstarted"
-            self.orders.append(our.Admit(None, (at,), 1.0, retry))
+    def watch_room(self):
+        """The share let in: judged by the middle host, since a few that fail are no want of room, once a
+        round, since an order's effect is heard no sooner. Refused clients cost nothing; storms feed on
+        tries that were let in and failed."""
+        if self.now < self.level_at or self.round_at < self.level_at - self.facts["sums_every"]:
+            return
+        heard = [h for h in self.hosts.values() if h.usable and h.tries >= 2]
+        if len(heard) < 3:
+            return
+        self.level_at = self.now + self.facts["sums_every"]
+        middle = len(heard) // 2
+        bad = sorted(h.bad / h.tries for h in heard)[middle]
+        late = sorted((h.mean_time or 0.0) for h in heard)[middle] / self.mean_target()
+        if bad > BAD_MUCH or late > LATE_MUCH:
+            self.room = max(LEAST_LET_IN, self.room * CUT)
+        else:
+            self.room = min(1.0, self.room + REGAIN)
+        self.order_levels()
+
+    def mean_target(self):
+        kinds = self.facts["req_kinds"]
+        return sum(n * k["response_target"] for n, k in zip(self.reqs, kinds)) / sum(self.reqs)
+
+    def order_levels(self):
+        """What a kind's reqs cost is not told: its response target stands in for its work. The kind that
+        loses least for the work saved goes first, if that beats refusing all kinds alike."""
+        kinds = self.facts["req_kinds"]
+        work = [n * k["response_target"] for n, k in zip(self.reqs, kinds)]
+        gain = [n * k["gain"] for n, k in zip(self.reqs, kinds)]
+        worst = self.facts.get("value_of_worst_kind", 0.0)
+        cost = [((1 - worst) * g / sum(gain) + worst) * sum(work) / w for g, w in zip(gain, work)]
+        first = min(range(len(kinds)), key=cost.__getitem__)
+        shed = sum(work) * (1 - self.room)
+        levels = [self.room] * len(kinds)
+        if cost[first] < 1:
+            taken = min(shed, work[first] * (1 - LEAST_LET_IN))
+            rest = max(1e-9, sum(work) - work[first])
+            levels = [1 - (shed - taken) / rest] * len(kinds)
+            levels[first] = 1 - taken / work[first]
+        levels = [round(max(0.05, level), 2) for level in levels]
+        if levels != self.levels:
+            for at in range(len(kinds)):
+                if not self.levels or levels[at] != self.levels[at]:
+                    self.orders.append(our.Admit(None, (at,), levels[at], "unstarted"))
+            self.levels = levels
+            for proxy in self.proxies.values():
+                if proxy.joined:
+                    self.written[proxy.number] = self.written.get(proxy.number, 0) + 1
 
     def on_timer(self, event):
         self.orders.append(our.SetTimer(0, TICK))
@@ -382,6 +437,7 @@
             self.watch_at = None
             self.orders.append(our.WatchRoster(True))
         self.judge()
+        self.watch_room()
         self.step_ramps()
         self.send_probes()
 
