--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -41,6 +41,8 @@
 CUT = 0.8  # what one round without room leaves of the share let in
 REGAIN = 0.05  # and what one round with room gives back
 LEAST_LET_IN = 0.2
+COLD_PART = 0.5  # of the load that pushes a cold host over, what is planned for it
+COLD_STEPS = (0.06, 0.12, 0.25, 0.5, 0.75, 1.0)
 
 
 class Host:
@@ -91,10 +93,11 @@
         self.written = {}  # proxy number -> lines in this batch
         self.queue, self.queue_at = 0.0, 0.0
         self.rounds, self.round_at = 0, -1e9
+        self.round_tries = self.round_good = self.demand = self.pace = 0.0
         self.stage_at = 0.0
         self.reqs = [1.0] * len(settings["req_kinds"])
         self.room, self.level_at, self.levels = 1.0, 0.0, None
-        self.dirty = set()
+        self.dirty, self.sunk = set(), False
         self.listed = False
         self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else None
         self.handlers = {
@@ -153,13 +156,13 @@
         """host id -> weight, as the proxy's table should stand now."""
         shard, zones = self.shard(proxy, group)
         members = [h for zone in sorted(shard) for h in shard[zone] if h.usable]
-        if not members:
-            usable = {z: [h for h in hosts if h.usable] for z, hosts in zones.items()}
+        if not any(h.step for h in members):
+            usable = {z: [h for h in hosts if h.usable and h.step] for z, hosts in zones.items()}
             members = usable.get(proxy.zone) or max(usable.values(), key=len, default=[])
         if not members:
             # No doubt may leave a proxy without a line while the list shows hosts that run.
             members = [h for hosts in zones.values() for h in hosts]
-        return {h.id: h.weight * h.step for h in members}
+        return {h.id: h.weight * h.step for h in members if h.step} or {h.id: h.weight for h in members}
 
     def table_number(self, proxy, group):
         return proxy.number * len(self.group_open) + group
@@ -213,11 +216,14 @@
 
     def publish_stage(self):
         """Deltas go to a tenth of the proxies at a time, so that a mistake is met by few at first."""
-        if not self.dirty or self.now < self.stage_at or not self.room_for_deltas():
+        if not self.dirty or (self.now < self.stage_at and not self.sunk) or not self.room_for_deltas():
             return
         waiting = [p for p in map(self.proxies.get, sorted(self.dirty)) if p.bound and self.may_write(p)]
         self.shuffle(waiting)
-        for proxy in waiting[:ceil(len(self.proxies) / STAGES)]:
+        # A cold host's part that must sink is as urgent as a removal.
+        some = len(waiting) if self.sunk else ceil(len(self.proxies) / STAGES)
+        self.sunk = False
+        for proxy in waiting[:some]:
             self.write_table(proxy)
         self.stage_at = self.now + self.draw(0.5, 1.5) * STAGE_GAP
 
@@ -268,7 +274,8 @@
                 self.written[proxy.number] = self.written.get(proxy.number, 0) + 1
 
     def start_ramp(self, host):
-        host.ramp_from, host.step = self.now, FIRST_SHARE
+        host.ramp_from = self.now
+        host.step = FIRST_SHARE if host.cold_from is None else self.cold_step(host, FIRST_SHARE)
 
     def step_ramps(self):
         for host in self.hosts.values():
@@ -276,11 +283,24 @@
                 continue
             grown = FIRST_SHARE + (1 - FIRST_SHARE) * (self.now - host.ramp_from) / RAMP
             step = min(1.0, int(grown * RAMP_STEPS) / RAMP_STEPS)
-            if step > host.step:
-                host.step = step
+            if host.cold_from is not None:
+                step = self.cold_step(host, step)
+            if step != host.step:
+                sinking, host.step = step < host.step, step
                 self.all_dirty()
+                self.sunk |= sinking
             if step >= 1.0:
-                host.ramp_from = None
+                host.ramp_from = host.cold_from = None
+
+    def cold_step(self, host, step):
+        """All tries count, storms of them too, and a cold host answers so well that proxies which shun the
+        others come to it: its part follows tries heard against what a host was seen to answer."""
+        age = (self.now - host.cold_from) / self.facts["warm_after"]
+        cold = self.facts["cold_share"]
+        able = self.facts["tip_multiple"] * (cold + (1 - cold) * min(1.0, age)) * self.pace
+        total = sum(h.step for h in self.hosts.values() if h.usable)
+        most = COLD_PART * able * total / self.demand if self.demand else 1.0
+        return max((s for s in COLD_STEPS if s <= min(step, most)), default=0.0)
 
     # Proxies that come and go.
 
@@ -312,9 +332,11 @@
     def on_host_sums(self, event):
         host = self.hosts.get(event.host)
         if self.now - self.round_at > self.facts["sums_every"] / 2:
-            self.rounds, self.round_at = self.rounds + 1, self.now
+            self.end_round()
         if host is None:
             return
+        self.round_tries += event.tries / event.span
+        self.round_good += (event.tries - event.bad) / event.span
         host.tries += event.tries
         host.bad += event.bad
         host.heard_at = self.now
@@ -322,6 +344,13 @@
             host.mean_time = event.mean_time
         host.report = event.report or host.report
 
+    def end_round(self):
+        self.rounds, self.round_at = self.rounds + 1, self.now
+        usable = sum(h.usable for h in self.hosts.values())
+        self.demand = max(self.demand * 0.8, self.round_tries)
+        self.pace = max(self.pace * 0.98, self.round_good / max(1, usable))
+        self.round_tries = self.round_good = 0.0
+
     def on_req_sums(self, event):
         self.reqs[event.kind] += event.reqs
 
@@ -389,9 +418,10 @@
         if self.now < self.level_at or self.round_at < self.level_at - self.facts["sums_every"]:
             return
         heard = [h for h in self.hosts.values() if h.usable and h.tries >= 2]
-        if len(heard) < 3:
+        joined = [p for p in self.proxies.values() if p.joined]
+        if len(heard) < 3 or not self.room_for_deltas() or not all(self.may_write(p, 0.7) for p in joined):
             return
-        self.level_at = self.now + self.facts["sums_every"]
+        self.level_at = self.now + max(1.0, self.facts["sums_every"])
         middle = len(heard) // 2
         bad = sorted(h.bad / h.tries for h in heard)[middle]
         late = sorted((h.mean_time or 0.0) for h in heard)[middle] / self.mean_target()
@@ -445,11 +475,11 @@
         self.drain_queue()
         return self.queue < 0.25 * self.facts["queue_most"]
 
-    def may_write(self, proxy):
+    def may_write(self, proxy, part=0.5):
         most = self.facts["messages_most"]
         while proxy.sent and self.now - proxy.sent[0] > self.facts["messages_span"]:
             proxy.sent.popleft()
-        return not most or len(proxy.sent) < most / 2
+        return not most or len(proxy.sent) < most * part
 
     def drain_queue(self):
         """On some days the channel is slower than told: half its pace is what is counted on."""
