--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -39,7 +39,7 @@
 BAD_MUCH = 0.1  # part of its tries that fails at the middle host of a fleet without room
 LATE_MUCH = 0.7  # or its answers take this part of the response target
 CUT = 0.8  # what one round without room leaves of the share let in
-REGAIN = 0.05  # and what one round with room gives back
+REGAIN = 1.15  # and what one round with room gives back
 LEAST_LET_IN = 0.2
 COLD_PART = 0.5  # of the load that pushes a cold host over, what is planned for it
 COLD_STEPS = (0.06, 0.12, 0.25, 0.5, 0.75, 1.0)
@@ -426,9 +426,12 @@
         bad = sorted(h.bad / h.tries for h in heard)[middle]
         late = sorted((h.mean_time or 0.0) for h in heard)[middle] / self.mean_target()
         if bad > BAD_MUCH or late > LATE_MUCH:
-            self.room = max(LEAST_LET_IN, self.room * CUT)
+            self.room = max(LEAST_LET_IN, self.room * min(CUT, max(0.5, 1 - bad)))
+            # What was let in before the cut goes on failing until its clients have given up.
+            slowest = max(k["client_timeout"] for k in self.facts["req_kinds"])
+            self.level_at = self.now + slowest + 2 * self.facts["sums_every"]
         else:
-            self.room = min(1.0, self.room + REGAIN)
+            self.room = min(1.0, self.room * REGAIN)
         self.order_levels()
 
     def mean_target(self):
