--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -426,10 +426,7 @@
         bad = sorted(h.bad / h.tries for h in heard)[middle]
         late = sorted((h.mean_time or 0.0) for h in heard)[middle] / self.mean_target()
         if bad > BAD_MUCH or late > LATE_MUCH:
-            self.room = max(LEAST_LET_IN, self.room * min(CUT, max(0.5, 1 - bad)))
-            # What was let in before the cut goes on failing until its clients have given up.
-            slowest = max(k["client_timeout"] for k in self.facts["req_kinds"])
-            self.level_at = self.now + slowest + 2 * self.facts["sums_every"]
+            self.room = max(LEAST_LET_IN, self.room * CUT)
         else:
             self.room = min(1.0, self.room * REGAIN)
         self.order_levels()
