--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -392,11 +392,14 @@
         host.strikes += 1
         host.out_by_probe, host.probe_passes = by_probe, 0
         host.out_until = self.now + min(LONGEST_WAIT, QUIET_WAIT * 2 ** (host.strikes - 1))
+        why = f"probes {host.probe_fails}" if by_probe else f"sums {host.bad:.1f} of {host.tries:.1f}"
+        self.orders.append(our.LogLine(f"host {host.id} dropped: {why}"))
 
     def judge_return(self, host):
         # A shallow probe passes on a hung host: a pass counts only where probes had told the failure.
         if host.probe_passes >= 2 if host.out_by_probe else self.now >= host.out_until:
             host.out_until, host.returned_at = None, self.now
+            self.orders.append(our.LogLine(f"host {host.id} returns"))
             host.clear_evidence(self.now)
             self.start_ramp(host)
             self.all_dirty()
@@ -453,6 +456,7 @@
             levels[first] = 1 - taken / work[first]
         levels = [round(max(0.05, level), 2) for level in levels]
         if levels != self.levels:
+            self.orders.append(our.LogLine(f"levels {levels}"))
             for at in range(len(kinds)):
                 if not self.levels or levels[at] != self.levels[at]:
                     self.orders.append(our.Admit(None, (at,), levels[at], "unstarted"))
