--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -27,12 +27,13 @@
 LEAST_A_ZONE = 2
 FIRST_SHARE = 0.25  # part of its weight that a new or returning host starts with
 RAMP = 10.0  # seconds from there to the full weight
-RAMP_STEPS = 4
+STEP = 0.25  # in steps of this part of it
 QUIET_WAIT = 10.0  # a dropped member's first wait, doubled each time that it fails again
 LONGEST_WAIT = 60.0
 STAGES = 10  # deltas reach this fraction of the proxies at a time
 STAGE_GAP = 0.2  # mean seconds between two stages
 TICK = 0.1
+FADE = 0.95  # what a tick leaves of the sums heard
 PROBE_EVERY = 1.0
 PROBE_AGAIN = 0.3
 ROUNDS_HEARD = 3
@@ -53,17 +54,21 @@
         self.zone, self.machine, self.cell = member.zone, member.machine, member.cell
         self.phase, self.weight, self.started_at = member.phase, member.weight, member.started_at
         self.cold_from = None  # when its current cold start began, as far as is known
-        self.ramp_from = None  # since when its weight grows; None once it has all of it
-        self.step = 1.0
+        self.step, self.share = 1.0, 1.0  # part of its weight by the ramp, and as published
+        self.grow_at, self.grow_wait, self.strained_at = None, RAMP * STEP / (1 - FIRST_SHARE), -1e9
         self.withdrawn = False
         self.strikes, self.out_until, self.out_by_probe, self.returned_at = 0, None, False, -1e9
         self.probe_at, self.probe_out, self.probe_fails, self.probe_passes = 0.0, False, 0, 0
         self.clear_evidence(now)
 
     def clear_evidence(self, now):
-        self.tries = self.bad = 0.0
-        self.mean_time, self.report = None, {}
-        self.heard_at = now
+        self.tries = self.bad = self.answer_time = 0.0  # sums that fade: tries, bad ones, seconds of the good
+        self.slow_rounds, self.report = 0, {}
+        self.heard_at = self.good_at = now
+
+    @property
+    def mean_time(self):
+        return self.answer_time / max(0.5, self.tries - self.bad)
 
     @property
     def usable(self):
@@ -93,6 +98,7 @@
         self.written = {}  # proxy number -> lines in this batch
         self.queue, self.queue_at = 0.0, 0.0
         self.rounds, self.round_at = 0, -1e9
+        self.judged_round = 0
         self.round_tries = self.round_good = self.demand = self.pace = 0.0
         self.stage_at = 0.0
         self.reqs = [1.0] * len(settings["req_kinds"])
@@ -156,13 +162,13 @@
         """host id -> weight, as the proxy's table should stand now."""
         shard, zones = self.shard(proxy, group)
         members = [h for zone in sorted(shard) for h in shard[zone] if h.usable]
-        if not any(h.step for h in members):
-            usable = {z: [h for h in hosts if h.usable and h.step] for z, hosts in zones.items()}
+        if not any(h.share for h in members):
+            usable = {z: [h for h in hosts if h.usable and h.share] for z, hosts in zones.items()}
             members = usable.get(proxy.zone) or max(usable.values(), key=len, default=[])
         if not members:
             # No doubt may leave a proxy without a line while the list shows hosts that run.
             members = [h for hosts in zones.values() for h in hosts]
-        return {h.id: h.weight * h.step for h in members if h.step} or {h.id: h.weight for h in members}
+        return {h.id: h.weight * h.share for h in members if h.share} or {h.id: h.weight for h in members}
 
     def table_number(self, proxy, group):
         return proxy.number * len(self.group_open) + group
@@ -274,33 +280,47 @@
                 self.written[proxy.number] = self.written.get(proxy.number, 0) + 1
 
     def start_ramp(self, host):
-        host.ramp_from = self.now
-        host.step = FIRST_SHARE if host.cold_from is None else self.cold_step(host, FIRST_SHARE)
+        host.step = host.share = FIRST_SHARE
+        host.grow_at = self.now + host.grow_wait
+        if host.cold_from is not None:
+            host.share = self.cold_share(host)
+
+    def strain(self, host, ready):
+        """Slow against its peers, with a queue of its own: back down the ramp, longer each time, so that
+        it neither drowns nor swings. Not for shared trouble, and only while the others can take the part."""
+        if (self.now - host.strained_at < 2.5 or host.step <= FIRST_SHARE
+                or sum(h.step for h in ready if h.usable) < len(ready) * 0.75):
+            return
+        calm = self.now - max(host.strained_at, host.returned_at) > 30
+        host.grow_wait = RAMP * STEP / (1 - FIRST_SHARE) if calm else min(30.0, host.grow_wait * 2)
+        host.step = max(FIRST_SHARE, host.step - STEP)
+        host.strained_at, host.grow_at = self.now, self.now + host.grow_wait
+        self.orders.append(our.LogLine(f"host {host.id} strained, step {host.step}"))
 
     def step_ramps(self):
         for host in self.hosts.values():
-            if host.ramp_from is None:
-                continue
-            grown = FIRST_SHARE + (1 - FIRST_SHARE) * (self.now - host.ramp_from) / RAMP
-            step = min(1.0, int(grown * RAMP_STEPS) / RAMP_STEPS)
+            if host.grow_at is not None and self.now >= host.grow_at:
+                host.step = min(1.0, host.step + STEP)
+                host.grow_at = self.now + host.grow_wait if host.step < 1.0 else None
+            share = host.step
             if host.cold_from is not None:
-                step = self.cold_step(host, step)
-            if step != host.step:
-                sinking, host.step = step < host.step, step
+                share = self.cold_share(host)
+                if host.step >= 1.0 and self.now - host.cold_from > self.facts["warm_after"]:
+                    host.cold_from = None
+            if share != host.share:
+                self.sunk |= share < host.share and host.cold_from is not None
+                host.share = share
                 self.all_dirty()
-                self.sunk |= sinking
-            if step >= 1.0:
-                host.ramp_from = host.cold_from = None
 
-    def cold_step(self, host, step):
+    def cold_share(self, host):
         """All tries count, storms of them too, and a cold host answers so well that proxies which shun the
         others come to it: its part follows tries heard against what a host was seen to answer."""
         age = (self.now - host.cold_from) / self.facts["warm_after"]
         cold = self.facts["cold_share"]
         able = self.facts["tip_multiple"] * (cold + (1 - cold) * min(1.0, age)) * self.pace
-        total = sum(h.step for h in self.hosts.values() if h.usable)
+        total = sum(h.share for h in self.hosts.values() if h.usable)
         most = COLD_PART * able * total / self.demand if self.demand else 1.0
-        return max((s for s in COLD_STEPS if s <= min(step, most)), default=0.0)
+        return max((s for s in COLD_STEPS if s <= min(host.step, most)), default=0.0)
 
     # Proxies that come and go.
 
@@ -340,8 +360,9 @@
         host.tries += event.tries
         host.bad += event.bad
         host.heard_at = self.now
-        if event.mean_time:
-            host.mean_time = event.mean_time
+        if event.tries > event.bad:
+            host.good_at = self.now
+        host.answer_time += event.mean_time * (event.tries - event.bad)
         host.report = event.report or host.report
 
     def end_round(self):
@@ -366,21 +387,29 @@
 
     def judge(self):
         ready = [h for h in self.hosts.values() if h.phase == "ready"]
-        tries, bad = sum(h.tries for h in ready), sum(h.bad for h in ready)
+        heard = [h for h in ready if h.usable and h.tries >= 2]
+        middle = len(heard) // 2
+        usual_bad = sorted(h.bad / h.tries for h in heard)[middle] if heard else 0.0
+        usual_time = sorted(h.mean_time for h in heard)[middle] if heard else 0.0
         failing_probes = sum(h.probe_fails > 0 for h in ready)
         for host in ready:
             if host.out_until is not None:
-                self.judge_return(host)
                 continue
-            others = (bad - host.bad) / max(1.0, tries - host.tries)
-            by_sums = host.bad >= 3 and host.bad / host.tries > max(0.3, 3 * others + 0.1)
-            by_probe = host.probe_fails >= 3 and failing_probes <= max(1, len(ready) * 0.35)
-            if by_sums or by_probe:
-                self.drop(host, ready, by_probe)
-        for host in ready:
-            host.tries *= 0.93
-            host.bad *= 0.93
-
+            # A deep probe times out at a host that is merely busy: only one that answers nothing else is lost.
+            silent = self.now - host.good_at > 1.3 * self.facts["sums_every"]
+            if host.probe_fails >= 3 and silent and failing_probes <= max(1, len(ready) * 0.35):
+                self.drop(host, ready, True)
+            elif host in heard:
+                time, part = host.mean_time, host.bad / host.tries
+                failing = host.bad >= 3 and part > max(0.25, 3 * usual_bad + 0.1)
+                # Failures of a host that answers as fast as its peers are its own; those of a slow one are load.
+                if failing and (part > 0.7 or time <= 1.2 * usual_time):
+                    self.drop(host, ready, False)
+                    continue
+                slow = failing or time > max(1.5 * usual_time, 0.6 * self.mean_target())
+                host.slow_rounds = host.slow_rounds + 1 if slow else 0
+                if host.slow_rounds >= 2:
+                    self.strain(host, ready)
     def drop(self, host, ready, by_probe):
         """Never so many that the rest could not carry the load, whatever the evidence."""
         zone = [h for h in ready if h.zone == host.zone]
@@ -395,9 +424,12 @@
         why = f"probes {host.probe_fails}" if by_probe else f"sums {host.bad:.1f} of {host.tries:.1f}"
         self.orders.append(our.LogLine(f"host {host.id} dropped: {why}"))
 
-    def judge_return(self, host):
-        # A shallow probe passes on a hung host: a pass counts only where probes had told the failure.
-        if host.probe_passes >= 2 if host.out_by_probe else self.now >= host.out_until:
+    def judge_returns(self):
+        for host in self.hosts.values():
+            # A shallow probe passes on a hung host: a pass counts only where probes had told the failure.
+            if host.out_until is None or not (
+                    host.probe_passes >= 2 if host.out_by_probe else self.now >= host.out_until):
+                continue
             host.out_until, host.returned_at = None, self.now
             self.orders.append(our.LogLine(f"host {host.id} returns"))
             host.clear_evidence(self.now)
@@ -427,7 +459,7 @@
         self.level_at = self.now + max(1.0, self.facts["sums_every"])
         middle = len(heard) // 2
         bad = sorted(h.bad / h.tries for h in heard)[middle]
-        late = sorted((h.mean_time or 0.0) for h in heard)[middle] / self.mean_target()
+        late = sorted(h.mean_time for h in heard)[middle] / self.mean_target()
         if bad > BAD_MUCH or late > LATE_MUCH:
             self.room = max(LEAST_LET_IN, self.room * CUT)
         else:
@@ -470,8 +502,13 @@
         if self.watch_at is not None and self.now >= self.watch_at:
             self.watch_at = None
             self.orders.append(our.WatchRoster(True))
-        self.judge()
+        if self.judged_round != self.rounds:
+            self.judged_round = self.rounds
+            self.judge()
+        self.judge_returns()
         self.watch_room()
+        for host in self.hosts.values():
+            host.tries, host.bad, host.answer_time = host.tries * FADE, host.bad * FADE, host.answer_time * FADE
         self.step_ramps()
         self.send_probes()
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -54,6 +54,27 @@
         made.judge()
         self.assertTrue(all(h.usable for h in made.hosts.values()))
         for host in made.hosts.values():
-            host.tries, host.bad = 10.0, 6.0 if host.id == 5 else 0.0
+            host.tries, host.bad, host.answer_time = 10.0, 6.0 if host.id == 5 else 0.0, 1.0
         made.judge()
         self.assertEqual([h.id for h in made.hosts.values() if not h.usable], [5])
+
+    def test_a_busy_host_whose_probes_time_out_stays_and_a_silent_one_goes(self):
+        made = planner()
+        made.now = 110.0
+        for host in made.hosts.values():
+            host.good_at = 109.5
+        made.hosts[2].probe_fails = made.hosts[3].probe_fails = 4
+        made.hosts[3].good_at = 105.0
+        made.judge()
+        self.assertEqual([h.id for h in made.hosts.values() if not h.usable], [3])
+
+    def test_a_slow_host_steps_down_the_ramp_and_a_shared_slowness_moves_nobody(self):
+        made = planner()
+        for all_slow in (True, False):
+            made.now += 10
+            for host in made.hosts.values():
+                slow = all_slow or host.id == 1
+                host.tries, host.bad, host.answer_time = 10.0, 0.0, 9.0 if slow else 1.0
+            for _ in range(3):
+                made.judge()
+        self.assertEqual([(h.id, h.step) for h in made.hosts.values() if h.step < 1], [(1, 0.75)])
