--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -28,6 +28,8 @@
 FIRST_SHARE = 0.25  # part of its weight that a new or returning host starts with
 RAMP = 10.0  # seconds from there to the full weight
 STEP = 0.25  # in steps of this part of it
+GROW_WAIT = RAMP * STEP / (1 - FIRST_SHARE)
+FIRST_REGAIN = 3.0  # how long a slow host does without the shards it left, doubled when it is slow again
 QUIET_WAIT = 10.0  # a dropped member's first wait, doubled each time that it fails again
 LONGEST_WAIT = 60.0
 STAGES = 10  # deltas reach this fraction of the proxies at a time
@@ -55,7 +57,9 @@
         self.phase, self.weight, self.started_at = member.phase, member.weight, member.started_at
         self.cold_from = None  # when its current cold start began, as far as is known
         self.step, self.share = 1.0, 1.0  # part of its weight by the ramp, and as published
-        self.grow_at, self.grow_wait, self.strained_at = None, RAMP * STEP / (1 - FIRST_SHARE), -1e9
+        self.grow_at = None
+        self.reach, self.spared = 1.0, frozenset()  # part of the proxies' reqs that may come; who does without
+        self.regain_at, self.regain_wait, self.strained_at = None, FIRST_REGAIN, -1e9
         self.withdrawn = False
         self.strikes, self.out_until, self.out_by_probe, self.returned_at = 0, None, False, -1e9
         self.probe_at, self.probe_out, self.probe_fails, self.probe_passes = 0.0, False, 0, 0
@@ -63,7 +67,7 @@
 
     def clear_evidence(self, now):
         self.tries = self.bad = self.answer_time = 0.0  # sums that fade: tries, bad ones, seconds of the good
-        self.slow_rounds, self.report = 0, {}
+        self.report = {}
         self.heard_at = self.good_at = now
 
     @property
@@ -144,6 +148,10 @@
                 and (not machines or host.machine in machines)
                 and (not own_zone or host.zone == proxy.zone))
 
+    @staticmethod
+    def rank(proxy, host):
+        return blake2b(host.name, digest_size=8, salt=proxy.number.to_bytes(2, "big")).digest()
+
     def shard(self, proxy, group):
         """The proxy's top-ranked hosts of each zone. A rank has no memory, so that every steward gives a
         proxy the same shard and a change of the list moves few lines."""
@@ -151,9 +159,8 @@
         for host in self.hosts.values():
             if host.phase == "ready" and self.is_open(host, group, proxy):
                 zones.setdefault(host.zone, []).append(host)
-        salt = proxy.number.to_bytes(2, "big")
         for members in zones.values():
-            members.sort(key=lambda h: blake2b(h.name, digest_size=8, salt=salt).digest())
+            members.sort(key=lambda h: self.rank(proxy, h))
         holders = max(1.0, self.facts["proxies"] / max(1, self.facts["stewards"]))
         return {zone: members[:max(LEAST_A_ZONE, ceil(COVERAGE * len(members) / holders))]
                 for zone, members in zones.items()}, zones
@@ -162,6 +169,9 @@
         """host id -> weight, as the proxy's table should stand now."""
         shard, zones = self.shard(proxy, group)
         members = [h for zone in sorted(shard) for h in shard[zone] if h.usable]
+        eased = [h for h in members if proxy.number not in h.spared]
+        if len(eased) * 2 >= len(members):
+            members = eased
         if not any(h.share for h in members):
             usable = {z: [h for h in hosts if h.usable and h.share] for z, hosts in zones.items()}
             members = usable.get(proxy.zone) or max(usable.values(), key=len, default=[])
@@ -281,27 +291,43 @@
 
     def start_ramp(self, host):
         host.step = host.share = FIRST_SHARE
-        host.grow_at = self.now + host.grow_wait
+        host.grow_at = self.now + GROW_WAIT
         if host.cold_from is not None:
             host.share = self.cold_share(host)
 
     def strain(self, host, ready):
-        """Slow against its peers, with a queue of its own: back down the ramp, longer each time, so that
-        it neither drowns nor swings. Not for shared trouble, and only while the others can take the part."""
-        if (self.now - host.strained_at < 2.5 or host.step <= FIRST_SHARE
-                or sum(h.step for h in ready if h.usable) < len(ready) * 0.75):
+        """Slow against its peers, with a queue of its own: it keeps its weight but leaves some shards, for
+        longer each time, so that it neither drowns nor swings. Not for shared trouble, and only while the
+        others can take its part."""
+        if (self.now - host.strained_at < 2.5 or host.reach <= 1 - 3 * STEP
+                or sum(h.reach for h in ready if h.usable) < len(ready) * 0.75):
             return
         calm = self.now - max(host.strained_at, host.returned_at) > 30
-        host.grow_wait = RAMP * STEP / (1 - FIRST_SHARE) if calm else min(30.0, host.grow_wait * 2)
-        host.step = max(FIRST_SHARE, host.step - STEP)
-        host.strained_at, host.grow_at = self.now, self.now + host.grow_wait
-        self.orders.append(our.LogLine(f"host {host.id} strained, step {host.step}"))
+        host.regain_wait = FIRST_REGAIN if calm else min(30.0, host.regain_wait * 2)
+        host.strained_at = self.now
+        self.set_reach(host, host.reach - STEP)
+
+    def set_reach(self, host, reach):
+        """Of the proxies, by what they bring, those that rank the host lowest do without it."""
+        host.reach = reach
+        joined = sorted((p for p in self.proxies.values() if p.joined),
+                        key=lambda p: self.rank(p, host), reverse=True)
+        spare, host.spared = (1 - reach) * sum(p.rate for p in joined), set()
+        for proxy in joined:
+            if proxy.rate / 2 < spare:
+                host.spared.add(proxy.number)
+                spare -= proxy.rate
+        host.regain_at = self.now + host.regain_wait if reach < 1 else None
+        self.all_dirty()
+        self.orders.append(our.LogLine(f"host {host.id} reach {reach}, without {sorted(host.spared)}"))
 
     def step_ramps(self):
         for host in self.hosts.values():
+            if host.regain_at is not None and self.now >= host.regain_at:
+                self.set_reach(host, min(1.0, host.reach + STEP))
             if host.grow_at is not None and self.now >= host.grow_at:
                 host.step = min(1.0, host.step + STEP)
-                host.grow_at = self.now + host.grow_wait if host.step < 1.0 else None
+                host.grow_at = self.now + GROW_WAIT if host.step < 1.0 else None
             share = host.step
             if host.cold_from is not None:
                 share = self.cold_share(host)
@@ -406,10 +432,9 @@
                 if failing and (part > 0.7 or time <= 1.2 * usual_time):
                     self.drop(host, ready, False)
                     continue
-                slow = failing or time > max(1.5 * usual_time, 0.6 * self.mean_target())
-                host.slow_rounds = host.slow_rounds + 1 if slow else 0
-                if host.slow_rounds >= 2:
+                if failing or time > max(1.5 * usual_time, 0.6 * self.mean_target()):
                     self.strain(host, ready)
+
     def drop(self, host, ready, by_probe):
         """Never so many that the rest could not carry the load, whatever the evidence."""
         zone = [h for h in ready if h.zone == host.zone]
