--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -29,7 +29,8 @@
 RAMP = 10.0  # seconds from there to the full weight
 STEP = 0.25  # in steps of this part of it
 GROW_WAIT = RAMP * STEP / (1 - FIRST_SHARE)
-FIRST_REGAIN = 3.0  # how long a slow host does without the shards it left, doubled when it is slow again
+STRAIN_GAP = 5.0  # until the relief of the last step has been heard
+FIRST_REGAIN = 10.0  # how long a slow host does without the shards it left, doubled when it is slow again
 QUIET_WAIT = 10.0  # a dropped member's first wait, doubled each time that it fails again
 LONGEST_WAIT = 60.0
 STAGES = 10  # deltas reach this fraction of the proxies at a time
@@ -40,7 +41,7 @@
 PROBE_AGAIN = 0.3
 ROUNDS_HEARD = 3
 BAD_MUCH = 0.1  # part of its tries that fails at the middle host of a fleet without room
-LATE_MUCH = 0.7  # or its answers take this part of the response target
+LATE_MUCH = 0.55  # or its answers take this part of the response target
 CUT = 0.8  # what one round without room leaves of the share let in
 REGAIN = 1.15  # and what one round with room gives back
 LEAST_LET_IN = 0.2
@@ -299,11 +300,11 @@
         """Slow against its peers, with a queue of its own: it keeps its weight but leaves some shards, for
         longer each time, so that it neither drowns nor swings. Not for shared trouble, and only while the
         others can take its part."""
-        if (self.now - host.strained_at < 2.5 or host.reach <= 1 - 3 * STEP
-                or sum(h.reach for h in ready if h.usable) < len(ready) * 0.75):
+        if (self.now - host.strained_at < STRAIN_GAP or host.reach <= 1 - 3 * STEP
+                or sum(h.reach for h in ready if h.usable) < len(ready) * 0.8):
             return
         calm = self.now - max(host.strained_at, host.returned_at) > 30
-        host.regain_wait = FIRST_REGAIN if calm else min(30.0, host.regain_wait * 2)
+        host.regain_wait = FIRST_REGAIN if calm else min(LONGEST_WAIT, host.regain_wait * 2)
         host.strained_at = self.now
         self.set_reach(host, host.reach - STEP)
 
@@ -486,7 +487,7 @@
         bad = sorted(h.bad / h.tries for h in heard)[middle]
         late = sorted(h.mean_time for h in heard)[middle] / self.mean_target()
         if bad > BAD_MUCH or late > LATE_MUCH:
-            self.room = max(LEAST_LET_IN, self.room * CUT)
+            self.room = max(LEAST_LET_IN, self.room * (0.75 if bad > 2 * BAD_MUCH or late > 0.8 else 0.9))
         else:
             self.room = min(1.0, self.room * REGAIN)
         self.order_levels()
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -37,7 +37,7 @@
         made = planner()
         made.orders, made.levels = [], None
         made.order_levels()
-        self.assertEqual({o.kinds: o.retry for o in made.orders}, {(0,): "unstarted", (1,): "unstarted"})
+        self.assertEqual({o.kinds: o.retry for o in of_type(made.orders, our.Admit)}, {(0,): "unstarted", (1,): "unstarted"})
 
     def test_doubt_alone_never_leaves_a_proxy_without_a_line(self):
         made = planner()
@@ -54,7 +54,8 @@
         made.judge()
         self.assertTrue(all(h.usable for h in made.hosts.values()))
         for host in made.hosts.values():
-            host.tries, host.bad, host.answer_time = 10.0, 6.0 if host.id == 5 else 0.0, 1.0
+            host.tries, host.bad = 10.0, 6.0 if host.id == 5 else 0.0
+            host.answer_time = 0.1 * (host.tries - host.bad)
         made.judge()
         self.assertEqual([h.id for h in made.hosts.values() if not h.usable], [5])
 
