--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -68,7 +68,7 @@
 
     def clear_evidence(self, now):
         self.tries = self.bad = self.answer_time = 0.0  # sums that fade: tries, bad ones, seconds of the good
-        self.report = {}
+        self.util = 0.0
         self.heard_at = self.good_at = now
 
     @property
@@ -390,7 +390,8 @@
         if event.tries > event.bad:
             host.good_at = self.now
         host.answer_time += event.mean_time * (event.tries - event.bad)
-        host.report = event.report or host.report
+        if event.report and "util" in event.report:
+            host.util += (min(1.0, event.report["util"]) - host.util) / 3
 
     def end_round(self):
         self.rounds, self.round_at = self.rounds + 1, self.now
@@ -418,6 +419,7 @@
         middle = len(heard) // 2
         usual_bad = sorted(h.bad / h.tries for h in heard)[middle] if heard else 0.0
         usual_time = sorted(h.mean_time for h in heard)[middle] if heard else 0.0
+        usual_util = sorted(h.util for h in heard)[middle] if heard else 0.0
         failing_probes = sum(h.probe_fails > 0 for h in ready)
         for host in ready:
             if host.out_until is not None:
@@ -433,7 +435,8 @@
                 if failing and (part > 0.7 or time <= 1.2 * usual_time):
                     self.drop(host, ready, False)
                     continue
-                if failing or time > max(1.5 * usual_time, 0.6 * self.mean_target()):
+                if (failing or time > max(1.5 * usual_time, 0.6 * self.mean_target())
+                        or host.util > max(0.88, usual_util + 0.12)):
                     self.strain(host, ready)
 
     def drop(self, host, ready, by_probe):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -37,7 +37,8 @@
         made = planner()
         made.orders, made.levels = [], None
         made.order_levels()
-        self.assertEqual({o.kinds: o.retry for o in of_type(made.orders, our.Admit)}, {(0,): "unstarted", (1,): "unstarted"})
+        tries = {o.kinds: o.retry for o in of_type(made.orders, our.Admit)}
+        self.assertEqual(tries, {(0,): "unstarted", (1,): "unstarted"})
 
     def test_doubt_alone_never_leaves_a_proxy_without_a_line(self):
         made = planner()
