--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -42,8 +42,9 @@
 ROUNDS_HEARD = 3
 BAD_MUCH = 0.1  # part of its tries that fails at the middle host of a fleet without room
 LATE_MUCH = 0.55  # or its answers take this part of the response target
-CUT = 0.8  # what one round without room leaves of the share let in
-REGAIN = 1.15  # and what one round with room gives back
+REGAIN = 1.25  # what one round with room gives back, by factor
+REGAIN_PAST = 0.03  # and past the edge
+EDGE = 0.75  # of the level at which a storm began: surely carried
 LEAST_LET_IN = 0.2
 COLD_PART = 0.5  # of the load that pushes a cold host over, what is planned for it
 COLD_STEPS = (0.06, 0.12, 0.25, 0.5, 0.75, 1.0)
@@ -108,6 +109,7 @@
         self.stage_at = 0.0
         self.reqs = [1.0] * len(settings["req_kinds"])
         self.room, self.level_at, self.levels = 1.0, 0.0, None
+        self.edge, self.cutting = 1.0, False
         self.dirty, self.sunk = set(), False
         self.listed = False
         self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else None
@@ -340,14 +342,14 @@
                 self.all_dirty()
 
     def cold_share(self, host):
-        """All tries count, storms of them too, and a cold host answers so well that proxies which shun the
-        others come to it: its part follows tries heard against what a host was seen to answer."""
-        age = (self.now - host.cold_from) / self.facts["warm_after"]
-        cold = self.facts["cold_share"]
-        able = self.facts["tip_multiple"] * (cold + (1 - cold) * min(1.0, age)) * self.pace
+        """At most what it is told to be able to do by now, and under a storm of tries heard still less:
+        all tries count, and a cold host answers so well that proxies which shun the others come to it. A
+        storm rises faster than it is heard, so the part planned is safe against one before it comes."""
+        age = min(1.0, (self.now - host.cold_from) / self.facts["warm_after"])
+        able = self.facts["cold_share"] + (1 - self.facts["cold_share"]) * age
         total = sum(h.share for h in self.hosts.values() if h.usable)
-        most = COLD_PART * able * total / self.demand if self.demand else 1.0
-        return max((s for s in COLD_STEPS if s <= min(host.step, most)), default=0.0)
+        most = COLD_PART * self.facts["tip_multiple"] * able * self.pace * total / max(1e-9, self.demand)
+        return max((s for s in COLD_STEPS if s <= min(host.step, most, max(able, FIRST_SHARE))), default=0.0)
 
     # Proxies that come and go.
 
@@ -490,9 +492,14 @@
         bad = sorted(h.bad / h.tries for h in heard)[middle]
         late = sorted(h.mean_time for h in heard)[middle] / self.mean_target()
         if bad > BAD_MUCH or late > LATE_MUCH:
+            if not self.cutting:
+                self.edge = self.room * EDGE
             self.room = max(LEAST_LET_IN, self.room * (0.75 if bad > 2 * BAD_MUCH or late > 0.8 else 0.9))
+            self.cutting = True
         else:
-            self.room = min(1.0, self.room * REGAIN)
+            # Back fast to what was surely carried, slowly past it: a second storm costs more than the wait.
+            self.room = min(1.0, self.room * REGAIN if self.room < self.edge else self.room + REGAIN_PAST)
+            self.cutting = False
         self.order_levels()
 
     def mean_target(self):
