--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -348,8 +348,11 @@
         age = min(1.0, (self.now - host.cold_from) / self.facts["warm_after"])
         able = self.facts["cold_share"] + (1 - self.facts["cold_share"]) * age
         total = sum(h.share for h in self.hosts.values() if h.usable)
-        most = COLD_PART * self.facts["tip_multiple"] * able * self.pace * total / max(1e-9, self.demand)
-        return max((s for s in COLD_STEPS if s <= min(host.step, most, max(able, FIRST_SHARE))), default=0.0)
+        bears = self.facts["tip_multiple"] * able
+        # Where the lighter of two drawn is taken, an empty host wins each draw it is in.
+        calm = bears * (0.2 if self.facts.get("pick") == "lighter of two" else 0.25)
+        heard = COLD_PART * bears * self.pace * total / max(1e-9, self.demand)
+        return max((s for s in COLD_STEPS if s <= min(host.step, calm, heard)), default=0.0)
 
     # Proxies that come and go.
 
