--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -69,7 +69,7 @@
 
     def clear_evidence(self, now):
         self.tries = self.bad = self.answer_time = 0.0  # sums that fade: tries, bad ones, seconds of the good
-        self.util = 0.0
+        self.load = None  # fading load report: part of its cores in use, or 1 with reqs waiting
         self.heard_at = self.good_at = now
 
     @property
@@ -395,8 +395,9 @@
         if event.tries > event.bad:
             host.good_at = self.now
         host.answer_time += event.mean_time * (event.tries - event.bad)
-        if event.report and "util" in event.report:
-            host.util += (min(1.0, event.report["util"]) - host.util) / 3
+        if event.report:
+            load = min(1.0, event.report.get("util", event.report.get("waiting", 0.0)))
+            host.load = load if host.load is None else host.load + (load - host.load) / 3
 
     def end_round(self):
         self.rounds, self.round_at = self.rounds + 1, self.now
@@ -424,7 +425,7 @@
         middle = len(heard) // 2
         usual_bad = sorted(h.bad / h.tries for h in heard)[middle] if heard else 0.0
         usual_time = sorted(h.mean_time for h in heard)[middle] if heard else 0.0
-        usual_util = sorted(h.util for h in heard)[middle] if heard else 0.0
+        usual_load = sorted(h.load or 0.0 for h in heard)[middle] if heard else 0.0
         failing_probes = sum(h.probe_fails > 0 for h in ready)
         for host in ready:
             if host.out_until is not None:
@@ -436,12 +437,13 @@
             elif host in heard:
                 time, part = host.mean_time, host.bad / host.tries
                 failing = host.bad >= 3 and part > max(0.25, 3 * usual_bad + 0.1)
-                # Failures of a host that answers as fast as its peers are its own; those of a slow one are load.
-                if failing and (part > 0.7 or time <= 1.2 * usual_time):
+                # A host that fails and yet has room fails by itself; one that is full refuses as quickly, but
+                # dropping it would drown the others. Without a load report, its times against its peers tell.
+                if failing and (host.load < 0.8 if host.load is not None else time <= 1.2 * usual_time):
                     self.drop(host, ready, False)
                     continue
                 if (failing or time > max(1.5 * usual_time, 0.6 * self.mean_target())
-                        or host.util > max(0.88, usual_util + 0.12)):
+                        or (host.load or 0.0) > max(0.88, usual_load + 0.12)):
                     self.strain(host, ready)
 
     def drop(self, host, ready, by_probe):
