--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -33,6 +33,8 @@
 FIRST_REGAIN = 10.0  # how long a slow host does without the shards it left, doubled when it is slow again
 QUIET_WAIT = 10.0  # a dropped member's first wait, doubled each time that it fails again
 LONGEST_WAIT = 60.0
+PLAN_EVERY = 2.0
+PLAN_SLACK = 0.15
 STAGES = 10  # deltas reach this fraction of the proxies at a time
 STAGE_GAP = 0.2  # mean seconds between two stages
 TICK = 0.1
@@ -111,6 +113,7 @@
         self.room, self.level_at, self.levels = 1.0, 0.0, None
         self.edge, self.cutting = 1.0, False
         self.dirty, self.sunk = set(), False
+        self.plan, self.plan_at = {}, 0.0
         self.listed = False
         self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else None
         self.handlers = {
@@ -128,6 +131,9 @@
             handler = self.handlers.get(type(event))
             if handler:
                 handler(event)
+        if self.now >= self.plan_at and self.hosts:
+            self.plan_at = self.now + PLAN_EVERY
+            self.keep_plan()
         self.bind_waiting()
         self.remove_lost()
         self.publish_stage()
@@ -155,6 +161,59 @@
     def rank(proxy, host):
         return blake2b(host.name, digest_size=8, salt=proxy.number.to_bytes(2, "big")).digest()
 
+    def plan_zones(self):
+        """By group and zone of proxies, the part of their reqs that each zone should take: every zone's hosts
+        alike full, kinds with fewest open hosts first, and no req crosses that need not. Only what this
+        steward's own proxies bring is known; if each steward spreads its own evenly, so do all together."""
+        usable = [h for h in self.hosts.values() if h.usable]
+        work = [n * k["response_target"] for n, k in zip(self.reqs, self.facts["req_kinds"])]
+        brought = {}
+        for proxy in self.proxies.values():
+            if proxy.joined:
+                brought[proxy.zone] = brought.get(proxy.zone, 0.0) + max(0.1, proxy.rate)
+        load, plan, rooms = {}, {}, []
+        for group, ((zones, machines, own_zone), kinds) in enumerate(self.group_open):
+            room = {}
+            for host in usable:
+                if (not zones or host.zone in zones) and (not machines or host.machine in machines):
+                    room[host.zone] = room.get(host.zone, 0.0) + host.weight
+            if not own_zone and room:
+                rooms.append((sum(room.values()), group, room, sum(work[k] for k in kinds) / sum(work)))
+        for _, group, room, part in sorted(rooms, key=lambda r: r[:2]):
+            asked = {zone: rate * part for zone, rate in brought.items()}
+            taken = self.fill(room, load, sum(asked.values()))
+            at_home = {z: min(asked.get(z, 0.0), taken[z]) for z in room}
+            spare = {z: taken[z] - at_home[z] for z in room}
+            for zone, amount in asked.items():
+                leaves = 1 - at_home.get(zone, 0.0) / amount
+                plan[group, zone] = {
+                    z: (leaves * spare[z] / max(1e-9, sum(spare.values())) + (1 - leaves) * (z == zone)) / room[z]
+                    for z in room}
+        return plan
+
+    @staticmethod
+    def fill(room, load, amount):
+        """What each zone takes of an amount so that all come as near as can be to one level of load."""
+        order = sorted(room, key=lambda z: (load.get(z, 0.0) / room[z], z))
+        for most in range(len(order), 0, -1):
+            into = order[:most]
+            level = (amount + sum(load.get(z, 0.0) for z in into)) / sum(room[z] for z in into)
+            if level * room[into[-1]] >= load.get(into[-1], 0.0):
+                break
+        taken = {z: level * room[z] - load.get(z, 0.0) if z in into else 0.0 for z in room}
+        for zone, more in taken.items():
+            load[zone] = load.get(zone, 0.0) + more
+        return taken
+
+    def keep_plan(self):
+        """Sizes hold still while the plan only wavers: each change of a size reopens connections."""
+        new = self.plan_zones()
+        if new.keys() != self.plan.keys() or any(
+                abs(part - self.plan[at].get(zone, 0.0)) > PLAN_SLACK * max(parts.values())
+                for at, parts in new.items() for zone, part in parts.items()):
+            self.plan = new
+            self.all_dirty()
+
     def shard(self, proxy, group):
         """The proxy's top-ranked hosts of each zone. A rank has no memory, so that every steward gives a
         proxy the same shard and a change of the list moves few lines."""
@@ -165,8 +224,14 @@
         for members in zones.values():
             members.sort(key=lambda h: self.rank(proxy, h))
         holders = max(1.0, self.facts["proxies"] / max(1, self.facts["stewards"]))
-        return {zone: members[:max(LEAST_A_ZONE, ceil(COVERAGE * len(members) / holders))]
-                for zone, members in zones.items()}, zones
+        parts = self.plan.get((group, proxy.zone), {})
+        fullest = max(parts.values(), default=0.0)
+        shard = {}
+        for zone, members in zones.items():
+            part = parts.get(zone, 0.0) / fullest if fullest else 1.0
+            size = min(round(part * len(members)), ceil(COVERAGE * len(members) / holders))
+            shard[zone] = members[:max(LEAST_A_ZONE, size)]
+        return shard, zones
 
     def table(self, proxy, group):
         """host id -> weight, as the proxy's table should stand now."""
@@ -363,6 +428,7 @@
         proxy.zone, proxy.rate = event.zone, event.rate
         proxy.joined, proxy.bound = True, False
         proxy.sent.clear()
+        self.plan_at = self.now
         # What it brings was laid by somebody who knew more than a steward that has just started. It must
         # not be left so long that a proxy whose lines are all withdrawn stays without one.
         keep = 0.0 if event.standing_only or self.rounds >= ROUNDS_HEARD else (
