--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -91,6 +91,7 @@
         self.lines = [{} for _ in range(groups)]  # by group: host id -> weight as published
         self.joined = self.bound = False
         self.sent = deque()
+        self.heard = {}  # reqs a second by kind, as the sums tell
 
 
 class Planner:
@@ -474,6 +475,11 @@
 
     def on_req_sums(self, event):
         self.reqs[event.kind] += event.reqs
+        proxy = self.proxies.get(event.proxy)
+        if proxy and event.span:
+            heard = proxy.heard.setdefault(event.kind, event.reqs / event.span)
+            proxy.heard[event.kind] = heard + (event.reqs / event.span - heard) / 3
+            proxy.rate = sum(proxy.heard.values())
 
     def on_probe(self, event):
         host = self.hosts.get(event.host)
