--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -207,7 +207,11 @@
         return taken
 
     def keep_plan(self):
-        """Sizes hold still while the plan only wavers: each change of a size reopens connections."""
+        """Sizes hold still while the plan only wavers: each change of a size reopens connections. A part of a
+        zone is unevenly loaded by its few holders, which only proxies that take the lighter of two even out:
+        where they do not, and all kinds are open to the same hosts, zones are taken whole."""
+        if len(self.group_open) < 2 and self.facts.get("pick") != "lighter of two":
+            return
         new = self.plan_zones()
         if new.keys() != self.plan.keys() or any(
                 abs(part - self.plan[at].get(zone, 0.0)) > PLAN_SLACK * max(parts.values())
