--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -605,15 +605,14 @@
             levels = [1 - (shed - taken) / rest] * len(kinds)
             levels[first] = 1 - taken / work[first]
         levels = [round(max(0.05, level), 2) for level in levels]
-        # A second try for what may run again saves reqs from the few hosts that fail, while most are well;
-        # in a storm it is the storm, and so is one after a refusal.
-        again = "once" if self.calm else "unstarted"
+        # While most hosts are well, a second try after a refusal finds one with room; in a storm it is the
+        # storm. After a failure that may have run there is none: a time-out need not stop the work.
+        again = "unstarted" if self.calm else "never"
         if levels != self.levels or again != self.again:
             self.orders.append(our.LogLine(f"levels {levels}"))
             for at in range(len(kinds)):
-                retry = again if kinds[at]["repeat"] == "replayable" else "unstarted"
                 if not self.levels or levels[at] != self.levels[at] or again != self.again:
-                    self.orders.append(our.Admit(None, (at,), levels[at], retry))
+                    self.orders.append(our.Admit(None, (at,), levels[at], again))
             self.levels, self.again = levels, again
             for proxy in self.proxies.values():
                 if proxy.joined:
