--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -112,7 +112,7 @@
         self.stage_at = 0.0
         self.reqs = [1.0] * len(settings["req_kinds"])
         self.room, self.level_at, self.levels = 1.0, 0.0, None
-        self.edge, self.cutting, self.calm, self.again = 1.0, False, True, None
+        self.edge, self.cutting = 1.0, False
         self.dirty, self.sunk = set(), False
         self.plan, self.plan_at = {}, 0.0
         self.listed = False
@@ -572,7 +572,6 @@
         middle = len(heard) // 2
         bad = sorted(h.bad / h.tries for h in heard)[middle]
         late = sorted(h.mean_time for h in heard)[middle] / self.mean_target()
-        self.calm = self.room >= 1.0 and bad < BAD_MUCH / 2 and late < LATE_MUCH * (0.75 if self.calm else 0.6)
         if bad > BAD_MUCH or late > LATE_MUCH:
             if not self.cutting:
                 self.edge = self.room * EDGE
@@ -605,15 +604,12 @@
             levels = [1 - (shed - taken) / rest] * len(kinds)
             levels[first] = 1 - taken / work[first]
         levels = [round(max(0.05, level), 2) for level in levels]
-        # While most hosts are well, a second try after a refusal finds one with room; in a storm it is the
-        # storm. After a failure that may have run there is none: a time-out need not stop the work.
-        again = "unstarted" if self.calm else "never"
-        if levels != self.levels or again != self.again:
+        if levels != self.levels:
             self.orders.append(our.LogLine(f"levels {levels}"))
             for at in range(len(kinds)):
-                if not self.levels or levels[at] != self.levels[at] or again != self.again:
-                    self.orders.append(our.Admit(None, (at,), levels[at], again))
-            self.levels, self.again = levels, again
+                if not self.levels or levels[at] != self.levels[at]:
+                    self.orders.append(our.Admit(None, (at,), levels[at], "unstarted"))
+            self.levels = levels
             for proxy in self.proxies.values():
                 if proxy.joined:
                     self.written[proxy.number] = self.written.get(proxy.number, 0) + 1
