--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -513,9 +513,9 @@
             elif host in heard:
                 time, part = host.mean_time, host.bad / host.tries
                 failing = host.bad >= 3 and part > max(0.25, 3 * usual_bad + 0.1)
-                # A host that fails and yet has room fails by itself; one that is full refuses as quickly, but
-                # dropping it would drown the others. Without a load report, its times against its peers tell.
-                if failing and (host.load < 0.8 if host.load is not None else time <= 1.2 * usual_time):
+                # A host that fails and yet has room and answers in time fails by itself; one that is full
+                # refuses as quickly, but dropping it would drown the others.
+                if failing and time <= 1.2 * usual_time and (host.load or 0.0) < 0.8:
                     self.drop(host, ready, False)
                     continue
                 if (failing or time > max(1.5 * usual_time, 0.6 * self.mean_target())
@@ -575,8 +575,11 @@
         if bad > BAD_MUCH or late > LATE_MUCH:
             if not self.cutting:
                 self.edge = self.room * EDGE
-            self.room = max(LEAST_LET_IN, self.room * (0.75 if bad > 2 * BAD_MUCH or late > 0.8 else 0.9))
+            grave = bad > 2 * BAD_MUCH or late > 1.5 * LATE_MUCH
+            self.room = max(LEAST_LET_IN, self.room * (0.75 if grave else 0.9))
             self.cutting = True
+            if not grave:
+                self.level_at += 1.0  # what was let in before the cut is still being answered
         else:
             # Back fast to what was surely carried, slowly past it: a second storm costs more than the wait.
             self.room = min(1.0, self.room * REGAIN if self.room < self.edge else self.room + REGAIN_PAST)
