--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -9,10 +9,10 @@
 
 Beside the design stand these mechanisms:
  1. channel   what waits and what each proxy was written is counted; what can be put off waits for room
- 2. cold      a started host's planned load stays under a part of what pushes it over
- 3. retries   proxies try again only where no effect can happen twice
- 4. levels    when the whole fleet has no room, less is let in of what earns least
- 5. doubt     sums and probes convict a host only against its peers, and never too many at once
+ 2. zones     where kinds are open to unlike zones, shard sizes fill all zones alike with least crossing
+ 3. cold      a started host's planned load stays under a part of what pushes it over
+ 4. admission no try that could take effect twice; less of what earns least when the fleet has no room
+ 5. doubt     sums and probes convict a host only against its peers: dropped if it fails, relieved if slow
  6. restart   after a start, tables that proxies bring stand until a few rounds of sums were heard
 """
 
@@ -52,27 +52,32 @@
 COLD_STEPS = (0.06, 0.12, 0.25, 0.5, 0.75, 1.0)
 
 
+def middle(values):
+    """The middle one: a few bad hosts do not move it."""
+    return sorted(values)[len(values) // 2] if values else 0.0
+
+
 class Host:
     """All that is known of one host."""
 
     def __init__(self, member, now):
         self.id, self.name = member.host, member.name
-        self.zone, self.machine, self.cell = member.zone, member.machine, member.cell
-        self.phase, self.weight, self.started_at = member.phase, member.weight, member.started_at
+        self.zone, self.machine = member.zone, member.machine
+        self.phase, self.started_at = "gone", None  # so that one listed ready counts as starting
         self.cold_from = None  # when its current cold start began, as far as is known
         self.step, self.share = 1.0, 1.0  # part of its weight by the ramp, and as published
         self.grow_at = None
-        self.reach, self.spared = 1.0, frozenset()  # part of the proxies' reqs that may come; who does without
+        self.reach, self.spared = 1.0, frozenset()  # part of the reqs that may come; proxies that do without
         self.regain_at, self.regain_wait, self.strained_at = None, FIRST_REGAIN, -1e9
         self.withdrawn = False
         self.strikes, self.out_until, self.out_by_probe, self.returned_at = 0, None, False, -1e9
-        self.probe_at, self.probe_out, self.probe_fails, self.probe_passes = 0.0, False, 0, 0
+        self.probe_at, self.probe_fails, self.probe_passes = 0.0, 0, 0
         self.clear_evidence(now)
 
     def clear_evidence(self, now):
         self.tries = self.bad = self.answer_time = 0.0  # sums that fade: tries, bad ones, seconds of the good
-        self.load = None  # fading load report: part of its cores in use, or 1 with reqs waiting
-        self.heard_at = self.good_at = now
+        self.load = 0.0  # fading load report: part of its cores in use, or 1 with reqs waiting
+        self.good_at = now
 
     @property
     def mean_time(self):
@@ -86,8 +91,8 @@
 class Proxy:
     """One joined proxy, the tables that it was put on, and what it was sent lately."""
 
-    def __init__(self, number, groups):
-        self.number = number
+    def __init__(self, number, groups, first_table):
+        self.number, self.first_table = number, first_table
         self.lines = [{} for _ in range(groups)]  # by group: host id -> weight as published
         self.joined = self.bound = False
         self.sent = deque()
@@ -102,9 +107,7 @@
         self.hosts = {}
         self.proxies = {}
         self.group_open = self.group_kinds()
-        self.now = self.started = None
-        self.orders = []
-        self.written = {}  # proxy number -> lines in this batch
+        self.now, self.orders = None, []
         self.queue, self.queue_at = 0.0, 0.0
         self.rounds, self.round_at = 0, -1e9
         self.judged_round = 0
@@ -123,9 +126,8 @@
             our.ReqSums: self.on_req_sums}
 
     def decide(self, now, events):
-        self.now, self.orders, self.written = now, [], {}
-        if self.started is None:
-            self.started = now
+        started, self.now, self.orders = self.now is not None, now, []
+        if not started:
             self.orders.append(our.SetTimer(0, TICK))
             self.order_levels()
         for event in events:
@@ -138,25 +140,30 @@
         self.bind_waiting()
         self.remove_lost()
         self.publish_stage()
-        self.book_messages()
         return self.orders
 
+    def joined(self):
+        return [p for p in self.proxies.values() if p.joined]
+
     # The design: shards, tables, deltas.
 
     def group_kinds(self):
         """Request kinds by the hosts they are open to; kinds with the same open hosts share a table."""
         groups = {}
         for at, kind in enumerate(self.facts["req_kinds"]):
-            key = (tuple(kind.get("only_zones") or ()), tuple(kind.get("only_machines") or ()),
-                   kind["own_zone"])
-            groups.setdefault(key, []).append(at)
+            places = tuple(kind.get("only_zones", ())), tuple(kind.get("only_machines", ())), kind["own_zone"]
+            groups.setdefault(places, []).append(at)
         return list(groups.items())
 
-    def is_open(self, host, group, proxy):
+    def open_hosts(self, group, zone):
+        """By zone, the hosts listed ready that the group's reqs may go to from that zone."""
         zones, machines, own_zone = self.group_open[group][0]
-        return ((not zones or host.zone in zones)
-                and (not machines or host.machine in machines)
-                and (not own_zone or host.zone == proxy.zone))
+        found = {}
+        for host in self.hosts.values():
+            if (host.phase == "ready" and (not zones or host.zone in zones)
+                    and (not machines or host.machine in machines) and (not own_zone or host.zone == zone)):
+                found.setdefault(host.zone, []).append(host)
+        return found
 
     @staticmethod
     def rank(proxy, host):
@@ -166,19 +173,15 @@
         """By group and zone of proxies, the part of their reqs that each zone should take: every zone's hosts
         alike full, kinds with fewest open hosts first, and no req crosses that need not. Only what this
         steward's own proxies bring is known; if each steward spreads its own evenly, so do all together."""
-        usable = [h for h in self.hosts.values() if h.usable]
         work = [n * k["response_target"] for n, k in zip(self.reqs, self.facts["req_kinds"])]
         brought = {}
-        for proxy in self.proxies.values():
-            if proxy.joined:
-                brought[proxy.zone] = brought.get(proxy.zone, 0.0) + max(0.1, proxy.rate)
+        for proxy in self.joined():
+            brought[proxy.zone] = brought.get(proxy.zone, 0.0) + max(0.1, proxy.rate)
         load, plan, rooms = {}, {}, []
-        for group, ((zones, machines, own_zone), kinds) in enumerate(self.group_open):
-            room = {}
-            for host in usable:
-                if (not zones or host.zone in zones) and (not machines or host.machine in machines):
-                    room[host.zone] = room.get(host.zone, 0.0) + host.weight
-            if not own_zone and room:
+        for group, ((_, _, own_zone), kinds) in enumerate(self.group_open):
+            room = {zone: sum(h.weight for h in hosts if h.usable)
+                    for zone, hosts in self.open_hosts(group, None).items() if any(h.usable for h in hosts)}
+            if room and not own_zone:
                 rooms.append((sum(room.values()), group, room, sum(work[k] for k in kinds) / sum(work)))
         for _, group, room, part in sorted(rooms, key=lambda r: r[:2]):
             asked = {zone: rate * part for zone, rate in brought.items()}
@@ -187,9 +190,9 @@
             spare = {z: taken[z] - at_home[z] for z in room}
             for zone, amount in asked.items():
                 leaves = 1 - at_home.get(zone, 0.0) / amount
+                away = leaves / max(1e-9, sum(spare.values()))
                 plan[group, zone] = {
-                    z: (leaves * spare[z] / max(1e-9, sum(spare.values())) + (1 - leaves) * (z == zone)) / room[z]
-                    for z in room}
+                    z: (away * spare[z] + (1 - leaves) * (z == zone)) / room[z] for z in room}
         return plan
 
     @staticmethod
@@ -222,10 +225,7 @@
     def shard(self, proxy, group):
         """The proxy's top-ranked hosts of each zone. A rank has no memory, so that every steward gives a
         proxy the same shard and a change of the list moves few lines."""
-        zones = {}
-        for host in self.hosts.values():
-            if host.phase == "ready" and self.is_open(host, group, proxy):
-                zones.setdefault(host.zone, []).append(host)
+        zones = self.open_hosts(group, proxy.zone)
         for members in zones.values():
             members.sort(key=lambda h: self.rank(proxy, h))
         holders = max(1.0, self.facts["proxies"] / max(1, self.facts["stewards"]))
@@ -253,9 +253,6 @@
             members = [h for hosts in zones.values() for h in hosts]
         return {h.id: h.weight * h.share for h in members if h.share} or {h.id: h.weight for h in members}
 
-    def table_number(self, proxy, group):
-        return proxy.number * len(self.group_open) + group
-
     def write_table(self, proxy):
         for group in range(len(self.group_open)):
             goal, lines = self.table(proxy, group), proxy.lines[group]
@@ -270,42 +267,34 @@
             proxy.lines[group][host] = weight
         else:
             proxy.lines[group].pop(host, None)
-        self.orders.append(our.SetLine(self.table_number(proxy, group), host, weight))
+        self.orders.append(our.SetLine(proxy.first_table + group, host, weight))
         if proxy.bound:
-            self.written[proxy.number] = self.written.get(proxy.number, 0) + 1
+            self.book(proxy, 1)
 
     def bind_waiting(self):
-        for proxy in self.proxies.values():
-            if not proxy.joined or proxy.bound or not self.hosts:
-                continue
-            if self.now < proxy.hold_until and self.rounds < ROUNDS_HEARD:
+        for proxy in self.joined():
+            if proxy.bound or not self.hosts or self.now < proxy.hold_until and self.rounds < ROUNDS_HEARD:
                 continue
             self.write_table(proxy)
             proxy.bound = True
             for group, (_, kinds) in enumerate(self.group_open):
-                self.orders.append(our.BindTable(proxy.number, self.table_number(proxy, group), tuple(kinds)))
-                self.written[proxy.number] = (self.written.get(proxy.number, 0) + 1 + len(proxy.lines[group])
-                                              + len(self.facts["req_kinds"]))
+                self.orders.append(our.BindTable(proxy.number, proxy.first_table + group, tuple(kinds)))
+                self.book(proxy, 1 + len(proxy.lines[group]) + len(self.facts["req_kinds"]))
 
     def remove_lost(self):
         """Hosts that drain, went or were dropped leave every table at once: their reqs are lost reqs."""
-        for proxy in self.proxies.values():
-            if not proxy.bound:
-                continue
-            for group in range(len(self.group_open)):
-                lost = [h for h in proxy.lines[group] if not self.hosts[h].usable]
-                if not lost:
-                    continue
-                if len(lost) == len(proxy.lines[group]):
-                    if proxy.lines[group] != self.table(proxy, group):
-                        self.write_table(proxy)
-                    continue
-                for host in lost:
-                    self.set_line(proxy, group, host, 0.0)
+        for proxy in self.joined():
+            for group, lines in enumerate(proxy.lines if proxy.bound else ()):
+                lost = [h for h in lines if not self.hosts[h].usable]
+                if lost and len(lost) == len(lines):
+                    self.write_table(proxy)
+                else:
+                    for host in lost:
+                        self.set_line(proxy, group, host, 0.0)
 
     def publish_stage(self):
         """Deltas go to a tenth of the proxies at a time, so that a mistake is met by few at first."""
-        if not self.dirty or (self.now < self.stage_at and not self.sunk) or not self.room_for_deltas():
+        if not self.dirty or (self.now < self.stage_at and not self.sunk):
             return
         waiting = [p for p in map(self.proxies.get, sorted(self.dirty)) if p.bound and self.may_write(p)]
         self.shuffle(waiting)
@@ -325,11 +314,10 @@
         if event.scope == "unavailable":
             self.watch_at = self.now + self.draw(0.5, 1.5)
             return
-        known = {m.host for m in event.members}
         if event.scope != "changes":
+            listed = {m.host for m in event.members}
             for host in self.hosts.values():
-                if host.id not in known:
-                    host.phase = "gone"
+                host.phase = host.phase if host.id in listed else "gone"
         for member in event.members:
             self.take_member(member)
         self.listed = True
@@ -342,8 +330,6 @@
         host = self.hosts.get(member.host)
         if host is None:
             host = self.hosts[member.host] = Host(member, self.now)
-            host.phase = "gone"  # so that one listed ready below counts as starting
-            host.started_at = None
         back = member.phase == "ready" and (host.phase != "ready" or member.started_at != host.started_at)
         host.phase, host.weight, host.started_at = member.phase, member.weight, member.started_at
         if not back:
@@ -358,15 +344,13 @@
     def withdraw(self, host, on):
         host.withdrawn = on
         self.orders.append(our.Withdraw(host.id, on))
-        for proxy in self.proxies.values():
-            if proxy.joined and (not proxy.bound or any(host.id in lines for lines in proxy.lines)):
-                self.written[proxy.number] = self.written.get(proxy.number, 0) + 1
+        for proxy in self.joined():
+            if not proxy.bound or any(host.id in lines for lines in proxy.lines):
+                self.book(proxy, 1)
 
     def start_ramp(self, host):
-        host.step = host.share = FIRST_SHARE
-        host.grow_at = self.now + GROW_WAIT
-        if host.cold_from is not None:
-            host.share = self.cold_share(host)
+        host.step, host.grow_at = FIRST_SHARE, self.now + GROW_WAIT
+        host.share = self.cold_share(host)
 
     def strain(self, host, ready):
         """Slow against its peers, with a queue of its own: it keeps its weight but leaves some shards, for
@@ -383,10 +367,8 @@
     def set_reach(self, host, reach):
         """Of the proxies, by what they bring, those that rank the host lowest do without it."""
         host.reach = reach
-        joined = sorted((p for p in self.proxies.values() if p.joined),
-                        key=lambda p: self.rank(p, host), reverse=True)
-        spare, host.spared = (1 - reach) * sum(p.rate for p in joined), set()
-        for proxy in joined:
+        spare, host.spared = (1 - reach) * sum(p.rate for p in self.joined()), set()
+        for proxy in sorted(self.joined(), key=lambda p: self.rank(p, host), reverse=True):
             if proxy.rate / 2 < spare:
                 host.spared.add(proxy.number)
                 spare -= proxy.rate
@@ -394,27 +376,12 @@
         self.all_dirty()
         self.orders.append(our.LogLine(f"host {host.id} reach {reach}, without {sorted(host.spared)}"))
 
-    def step_ramps(self):
-        for host in self.hosts.values():
-            if host.regain_at is not None and self.now >= host.regain_at:
-                self.set_reach(host, min(1.0, host.reach + STEP))
-            if host.grow_at is not None and self.now >= host.grow_at:
-                host.step = min(1.0, host.step + STEP)
-                host.grow_at = self.now + GROW_WAIT if host.step < 1.0 else None
-            share = host.step
-            if host.cold_from is not None:
-                share = self.cold_share(host)
-                if host.step >= 1.0 and self.now - host.cold_from > self.facts["warm_after"]:
-                    host.cold_from = None
-            if share != host.share:
-                self.sunk |= share < host.share and host.cold_from is not None
-                host.share = share
-                self.all_dirty()
-
     def cold_share(self, host):
         """At most what it is told to be able to do by now, and under a storm of tries heard still less:
         all tries count, and a cold host answers so well that proxies which shun the others come to it. A
         storm rises faster than it is heard, so the part planned is safe against one before it comes."""
+        if host.cold_from is None:
+            return host.step
         age = min(1.0, (self.now - host.cold_from) / self.facts["warm_after"])
         able = self.facts["cold_share"] + (1 - self.facts["cold_share"]) * age
         total = sum(h.share for h in self.hosts.values() if h.usable)
@@ -429,7 +396,8 @@
     def on_joined(self, event):
         proxy = self.proxies.get(event.proxy)
         if proxy is None:
-            proxy = self.proxies[event.proxy] = Proxy(event.proxy, len(self.group_open))
+            groups = len(self.group_open)
+            proxy = self.proxies[event.proxy] = Proxy(event.proxy, groups, groups * len(self.proxies))
         proxy.zone, proxy.rate = event.zone, event.rate
         proxy.joined, proxy.bound = True, False
         proxy.sent.clear()
@@ -448,7 +416,6 @@
         proxy = self.proxies.get(event.proxy)
         if proxy:
             proxy.joined = proxy.bound = False
-            self.dirty.discard(proxy.number)
 
     # Health.
 
@@ -462,13 +429,12 @@
         self.round_good += (event.tries - event.bad) / event.span
         host.tries += event.tries
         host.bad += event.bad
-        host.heard_at = self.now
         if event.tries > event.bad:
             host.good_at = self.now
         host.answer_time += event.mean_time * (event.tries - event.bad)
         if event.report:
             load = min(1.0, event.report.get("util", event.report.get("waiting", 0.0)))
-            host.load = load if host.load is None else host.load + (load - host.load) / 3
+            host.load += (load - host.load) / 3
 
     def end_round(self):
         self.rounds, self.round_at = self.rounds + 1, self.now
@@ -498,15 +464,13 @@
     def judge(self):
         ready = [h for h in self.hosts.values() if h.phase == "ready"]
         heard = [h for h in ready if h.usable and h.tries >= 2]
-        middle = len(heard) // 2
-        usual_bad = sorted(h.bad / h.tries for h in heard)[middle] if heard else 0.0
-        usual_time = sorted(h.mean_time for h in heard)[middle] if heard else 0.0
-        usual_load = sorted(h.load or 0.0 for h in heard)[middle] if heard else 0.0
+        usual_bad = middle([h.bad / h.tries for h in heard])
+        usual_time, usual_load = middle([h.mean_time for h in heard]), middle([h.load for h in heard])
         failing_probes = sum(h.probe_fails > 0 for h in ready)
         for host in ready:
             if host.out_until is not None:
                 continue
-            # A deep probe times out at a host that is merely busy: only one that answers nothing else is lost.
+            # A deep probe times out at a busy host: only one that answers nothing else is lost.
             silent = self.now - host.good_at > 1.3 * self.facts["sums_every"]
             if host.probe_fails >= 3 and silent and failing_probes <= max(1, len(ready) * 0.35):
                 self.drop(host, ready, True)
@@ -515,11 +479,11 @@
                 failing = host.bad >= 3 and part > max(0.25, 3 * usual_bad + 0.1)
                 # A host that fails and yet has room and answers in time fails by itself; one that is full
                 # refuses as quickly, but dropping it would drown the others.
-                if failing and time <= 1.2 * usual_time and (host.load or 0.0) < 0.8:
+                if failing and time <= 1.2 * usual_time and host.load < 0.8:
                     self.drop(host, ready, False)
                     continue
-                if (failing or time > max(1.5 * usual_time, 0.6 * self.mean_target())
-                        or (host.load or 0.0) > max(0.88, usual_load + 0.12)):
+                slow = time > max(1.5 * usual_time, 0.6 * self.mean_target())
+                if failing or slow or host.load > max(0.88, usual_load + 0.12):
                     self.strain(host, ready)
 
     def drop(self, host, ready, by_probe):
@@ -536,25 +500,32 @@
         why = f"probes {host.probe_fails}" if by_probe else f"sums {host.bad:.1f} of {host.tries:.1f}"
         self.orders.append(our.LogLine(f"host {host.id} dropped: {why}"))
 
-    def judge_returns(self):
-        for host in self.hosts.values():
-            # A shallow probe passes on a hung host: a pass counts only where probes had told the failure.
-            if host.out_until is None or not (
-                    host.probe_passes >= 2 if host.out_by_probe else self.now >= host.out_until):
-                continue
+    def tend(self, host):
+        """What time alone brings a host: its return, its next step, its next probe."""
+        host.tries, host.bad, host.answer_time = host.tries * FADE, host.bad * FADE, host.answer_time * FADE
+        # A shallow probe passes on a hung host: a pass counts only where probes had told the failure.
+        if host.out_until is not None and (
+                host.probe_passes >= 2 if host.out_by_probe else self.now >= host.out_until):
             host.out_until, host.returned_at = None, self.now
             self.orders.append(our.LogLine(f"host {host.id} returns"))
             host.clear_evidence(self.now)
             self.start_ramp(host)
             self.all_dirty()
-
-    def send_probes(self):
-        if not self.facts.get("probing"):
-            return
-        for host in self.hosts.values():
-            if host.phase == "ready" and self.now >= host.probe_at:
-                host.probe_at = self.now + PROBE_EVERY * self.draw(0.9, 1.1)
-                self.orders.append(our.Probe(host.id))
+        if host.regain_at is not None and self.now >= host.regain_at:
+            self.set_reach(host, min(1.0, host.reach + STEP))
+        if host.grow_at is not None and self.now >= host.grow_at:
+            host.step = min(1.0, host.step + STEP)
+            host.grow_at = self.now + GROW_WAIT if host.step < 1.0 else None
+        if host.cold_from is not None and self.now - host.cold_from > self.facts["warm_after"]:
+            host.cold_from = None
+        share = self.cold_share(host)
+        if share != host.share:
+            self.sunk |= share < host.share
+            host.share = share
+            self.all_dirty()
+        if self.facts.get("probing") and host.phase == "ready" and self.now >= host.probe_at:
+            host.probe_at = self.now + PROBE_EVERY * self.draw(0.9, 1.1)
+            self.orders.append(our.Probe(host.id))
 
     # Orders for all, the channel, time.
 
@@ -565,13 +536,11 @@
         if self.now < self.level_at or self.round_at < self.level_at - self.facts["sums_every"]:
             return
         heard = [h for h in self.hosts.values() if h.usable and h.tries >= 2]
-        joined = [p for p in self.proxies.values() if p.joined]
-        if len(heard) < 3 or not self.room_for_deltas() or not all(self.may_write(p, 0.7) for p in joined):
+        if len(heard) < 3 or not all(self.may_write(p, 0.7) for p in self.joined()):
             return
         self.level_at = self.now + max(1.0, self.facts["sums_every"])
-        middle = len(heard) // 2
-        bad = sorted(h.bad / h.tries for h in heard)[middle]
-        late = sorted(h.mean_time for h in heard)[middle] / self.mean_target()
+        bad = middle([h.bad / h.tries for h in heard])
+        late = middle([h.mean_time for h in heard]) / self.mean_target()
         if bad > BAD_MUCH or late > LATE_MUCH:
             if not self.cutting:
                 self.edge = self.room * EDGE
@@ -613,9 +582,8 @@
                 if not self.levels or levels[at] != self.levels[at]:
                     self.orders.append(our.Admit(None, (at,), levels[at], "unstarted"))
             self.levels = levels
-            for proxy in self.proxies.values():
-                if proxy.joined:
-                    self.written[proxy.number] = self.written.get(proxy.number, 0) + 1
+            for proxy in self.joined():
+                self.book(proxy, 1)
 
     def on_timer(self, event):
         self.orders.append(our.SetTimer(0, TICK))
@@ -625,30 +593,27 @@
         if self.judged_round != self.rounds:
             self.judged_round = self.rounds
             self.judge()
-        self.judge_returns()
         self.watch_room()
         for host in self.hosts.values():
-            host.tries, host.bad, host.answer_time = host.tries * FADE, host.bad * FADE, host.answer_time * FADE
-        self.step_ramps()
-        self.send_probes()
-
-    def room_for_deltas(self):
-        self.drain_queue()
-        return self.queue < 0.25 * self.facts["queue_most"]
+            self.tend(host)
 
     def may_write(self, proxy, part=0.5):
+        """For what can be put off: what cannot must always find room in the queue and the proxy's count."""
         most = self.facts["messages_most"]
         while proxy.sent and self.now - proxy.sent[0] > self.facts["messages_span"]:
             proxy.sent.popleft()
-        return not most or len(proxy.sent) < most * part
+        self.drain_queue()
+        return self.queue < 0.25 * self.facts["queue_most"] and (not most or len(proxy.sent) < most * part)
 
     def drain_queue(self):
         """On some days the channel is slower than told: half its pace is what is counted on."""
         spent = (self.now - self.queue_at) * self.facts["channel_rate"] / 2
         self.queue, self.queue_at = max(0.0, self.queue - spent), self.now
 
-    def book_messages(self):
+    def book(self, proxy, lines):
+        """One batch makes one message a proxy: its head counts once."""
         self.drain_queue()
-        for number, lines in self.written.items():
-            self.queue += lines + self.facts["message_head"]
-            self.proxies[number].sent.append(self.now)
+        if not proxy.sent or proxy.sent[-1] < self.now:
+            proxy.sent.append(self.now)
+            self.queue += self.facts["message_head"]
+        self.queue += lines
