--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -49,6 +49,7 @@
 EDGE = 0.75  # of the level at which a storm began: surely carried
 LEAST_LET_IN = 0.2
 COLD_PART = 0.5  # of the load that pushes a cold host over, what is planned for it
+STORM = 2.0  # times the tries let in now, which may come before they are heard
 COLD_STEPS = (0.06, 0.12, 0.25, 0.5, 0.75, 1.0)
 
 
@@ -69,7 +70,7 @@
         self.grow_at = None
         self.reach, self.spared = 1.0, frozenset()  # part of the reqs that may come; proxies that do without
         self.regain_at, self.regain_wait, self.strained_at = None, FIRST_REGAIN, -1e9
-        self.withdrawn = False
+        self.withdrawn, self.planned = False, 0.0  # planned: part of all reqs that the tables bring
         self.strikes, self.out_until, self.out_by_probe, self.returned_at = 0, None, False, -1e9
         self.probe_at, self.probe_fails, self.probe_passes = 0.0, 0, 0
         self.clear_evidence(now)
@@ -377,19 +378,33 @@
         self.orders.append(our.LogLine(f"host {host.id} reach {reach}, without {sorted(host.spared)}"))
 
     def cold_share(self, host):
-        """At most what it is told to be able to do by now, and under a storm of tries heard still less:
-        all tries count, and a cold host answers so well that proxies which shun the others come to it. A
-        storm rises faster than it is heard, so the part planned is safe against one before it comes."""
+        """What the tables as published bring a cold host, from all proxies, stays within what it bears, by
+        tries as heard and before they rise: a storm comes faster than it is heard, and an empty host answers
+        so well that proxies which shun the others come to it, or take it as the lighter of two."""
         if host.cold_from is None:
             return host.step
         age = min(1.0, (self.now - host.cold_from) / self.facts["warm_after"])
         able = self.facts["cold_share"] + (1 - self.facts["cold_share"]) * age
-        total = sum(h.share for h in self.hosts.values() if h.usable)
-        bears = self.facts["tip_multiple"] * able
-        # Where the lighter of two drawn is taken, an empty host wins each draw it is in.
-        calm = bears * (0.2 if self.facts.get("pick") == "lighter of two" else 0.25)
-        heard = COLD_PART * bears * self.pace * total / max(1e-9, self.demand)
-        return max((s for s in COLD_STEPS if s <= min(host.step, calm, heard)), default=0.0)
+        storm = STORM * (1.25 if self.facts.get("pick") == "lighter of two" else 1.0)
+        let_in = self.room * sum(p.rate for p in self.joined())
+        most = COLD_PART * self.facts["tip_multiple"] * able * self.pace / max(
+            1e-9, self.demand, storm * let_in)
+        each = host.planned / host.share if host.planned and host.share else 1 / max(
+            1.0, sum(h.share for h in self.hosts.values() if h.usable))
+        return max((s for s in COLD_STEPS if s <= host.step and
+                    s * each * (1.2 if s > host.share else 1.0) <= most), default=0.0)
+
+    def foresee(self):
+        """By host, the part of all reqs that the published tables bring it."""
+        work = [sum(self.reqs[kind] for kind in kinds) / sum(self.reqs) for _, kinds in self.group_open]
+        whole = max(1e-9, sum(p.rate for p in self.joined()))
+        for host in self.hosts.values():
+            host.planned = 0.0
+        for proxy in self.joined():
+            for lines, part in zip(proxy.lines, work):
+                each = proxy.rate / whole * part / max(1e-9, sum(lines.values()))
+                for host, weight in lines.items():
+                    self.hosts[host].planned += weight * each
 
     # Proxies that come and go.
 
@@ -594,6 +609,8 @@
             self.judged_round = self.rounds
             self.judge()
         self.watch_room()
+        if any(h.cold_from is not None for h in self.hosts.values()):
+            self.foresee()
         for host in self.hosts.values():
             self.tend(host)
 
