--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -536,6 +536,7 @@
         share = self.cold_share(host)
         if share != host.share:
             self.sunk |= share < host.share
+            self.orders.append(our.LogLine(f"host {host.id} share {share} planned {host.planned:.3f} demand {self.demand:.0f} pace {self.pace:.1f}"))
             host.share = share
             self.all_dirty()
         if self.facts.get("probing") and host.phase == "ready" and self.now >= host.probe_at:
