--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -49,7 +49,6 @@
 EDGE = 0.75  # of the level at which a storm began: surely carried
 LEAST_LET_IN = 0.2
 COLD_PART = 0.5  # of the load that pushes a cold host over, what is planned for it
-STORM = 2.0  # times the tries let in now, which may come before they are heard
 COLD_STEPS = (0.06, 0.12, 0.25, 0.5, 0.75, 1.0)
 
 
@@ -70,7 +69,7 @@
         self.grow_at = None
         self.reach, self.spared = 1.0, frozenset()  # part of the reqs that may come; proxies that do without
         self.regain_at, self.regain_wait, self.strained_at = None, FIRST_REGAIN, -1e9
-        self.withdrawn, self.planned = False, 0.0  # planned: part of all reqs that the tables bring
+        self.withdrawn = False
         self.strikes, self.out_until, self.out_by_probe, self.returned_at = 0, None, False, -1e9
         self.probe_at, self.probe_fails, self.probe_passes = 0.0, 0, 0
         self.clear_evidence(now)
@@ -116,7 +115,7 @@
         self.stage_at = 0.0
         self.reqs = [1.0] * len(settings["req_kinds"])
         self.room, self.level_at, self.levels = 1.0, 0.0, None
-        self.edge, self.cutting = 1.0, False
+        self.edge, self.cutting, self.tight = 1.0, False, False
         self.dirty, self.sunk = set(), False
         self.plan, self.plan_at = {}, 0.0
         self.listed = False
@@ -378,33 +377,20 @@
         self.orders.append(our.LogLine(f"host {host.id} reach {reach}, without {sorted(host.spared)}"))
 
     def cold_share(self, host):
-        """What the tables as published bring a cold host, from all proxies, stays within what it bears, by
-        tries as heard and before they rise: a storm comes faster than it is heard, and an empty host answers
-        so well that proxies which shun the others come to it, or take it as the lighter of two."""
+        """Within what a cold host bears, by tries as heard. Once the fleet is tight it gets none: proxies
+        that shun full hosts send all they have to the empty one, and a storm outruns its sums."""
         if host.cold_from is None:
             return host.step
+        if self.tight:
+            return 0.0
         age = min(1.0, (self.now - host.cold_from) / self.facts["warm_after"])
         able = self.facts["cold_share"] + (1 - self.facts["cold_share"]) * age
-        storm = STORM * (1.25 if self.facts.get("pick") == "lighter of two" else 1.0)
-        let_in = self.room * sum(p.rate for p in self.joined())
-        most = COLD_PART * self.facts["tip_multiple"] * able * self.pace / max(
-            1e-9, self.demand, storm * let_in)
-        each = host.planned / host.share if host.planned and host.share else 1 / max(
-            1.0, sum(h.share for h in self.hosts.values() if h.usable))
-        return max((s for s in COLD_STEPS if s <= host.step and
-                    s * each * (1.2 if s > host.share else 1.0) <= most), default=0.0)
-
-    def foresee(self):
-        """By host, the part of all reqs that the published tables bring it."""
-        work = [sum(self.reqs[kind] for kind in kinds) / sum(self.reqs) for _, kinds in self.group_open]
-        whole = max(1e-9, sum(p.rate for p in self.joined()))
-        for host in self.hosts.values():
-            host.planned = 0.0
-        for proxy in self.joined():
-            for lines, part in zip(proxy.lines, work):
-                each = proxy.rate / whole * part / max(1e-9, sum(lines.values()))
-                for host, weight in lines.items():
-                    self.hosts[host].planned += weight * each
+        bears = self.facts["tip_multiple"] * able
+        # Where the lighter of two drawn is taken, an empty host wins each draw it is in.
+        calm = bears * (0.2 if self.facts.get("pick") == "lighter of two" else 0.25)
+        total = sum(h.share for h in self.hosts.values() if h.usable)
+        heard = COLD_PART * bears * self.pace * total / max(1e-9, self.demand)
+        return max((s for s in COLD_STEPS if s <= min(host.step, calm, heard)), default=0.0)
 
     # Proxies that come and go.
 
@@ -481,6 +467,8 @@
         heard = [h for h in ready if h.usable and h.tries >= 2]
         usual_bad = middle([h.bad / h.tries for h in heard])
         usual_time, usual_load = middle([h.mean_time for h in heard]), middle([h.load for h in heard])
+        tight = usual_load - 0.9, usual_time / self.mean_target() - 0.75 * LATE_MUCH, usual_bad - BAD_MUCH / 2
+        self.tight = max(tight) > (-0.05 if self.tight else 0.0)
         failing_probes = sum(h.probe_fails > 0 for h in ready)
         for host in ready:
             if host.out_until is not None:
@@ -536,7 +524,6 @@
         share = self.cold_share(host)
         if share != host.share:
             self.sunk |= share < host.share
-            self.orders.append(our.LogLine(f"host {host.id} share {share} planned {host.planned:.3f} demand {self.demand:.0f} pace {self.pace:.1f}"))
             host.share = share
             self.all_dirty()
         if self.facts.get("probing") and host.phase == "ready" and self.now >= host.probe_at:
@@ -610,8 +597,6 @@
             self.judged_round = self.rounds
             self.judge()
         self.watch_room()
-        if any(h.cold_from is not None for h in self.hosts.values()):
-            self.foresee()
         for host in self.hosts.values():
             self.tend(host)
 
