--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -38,6 +38,7 @@
 STAGES = 10  # deltas reach this fraction of the proxies at a time
 STAGE_GAP = 0.2  # mean seconds between two stages
 TICK = 0.1
+ROUND_WAIT = 0.2  # until all the sums of a round are in
 FADE = 0.95  # what a tick leaves of the sums heard
 PROBE_EVERY = 1.0
 PROBE_AGAIN = 0.3
@@ -48,6 +49,7 @@
 REGAIN_PAST = 0.03  # and past the edge
 EDGE = 0.75  # of the level at which a storm began: surely carried
 LEAST_LET_IN = 0.2
+FULL = 0.92  # of what the fleet was seen able to do, what is let in
 COLD_PART = 0.5  # of the load that pushes a cold host over, what is planned for it
 COLD_STEPS = (0.06, 0.12, 0.25, 0.5, 0.75, 1.0)
 
@@ -110,7 +112,7 @@
         self.now, self.orders = None, []
         self.queue, self.queue_at = 0.0, 0.0
         self.rounds, self.round_at = 0, -1e9
-        self.judged_round = 0
+        self.round_open, self.work, self.able = False, 0.0, 0.0
         self.round_tries = self.round_good = self.demand = self.pace = 0.0
         self.stage_at = 0.0
         self.reqs = [1.0] * len(settings["req_kinds"])
@@ -423,7 +425,7 @@
     def on_host_sums(self, event):
         host = self.hosts.get(event.host)
         if self.now - self.round_at > self.facts["sums_every"] / 2:
-            self.end_round()
+            self.round_at, self.round_open = self.now, True
         if host is None:
             return
         self.round_tries += event.tries / event.span
@@ -438,14 +440,18 @@
             host.load += (load - host.load) / 3
 
     def end_round(self):
-        self.rounds, self.round_at = self.rounds + 1, self.now
-        usable = sum(h.usable for h in self.hosts.values())
+        self.rounds, self.round_open = self.rounds + 1, False
+        usable = max(1, sum(h.usable for h in self.hosts.values()))
         self.demand = max(self.demand * 0.8, self.round_tries)
-        self.pace = max(self.pace * 0.98, self.round_good / max(1, usable))
+        self.pace = max(self.pace * 0.98, self.round_good / usable)
+        self.work = self.round_tries * self.mean_target() / usable
         self.round_tries = self.round_good = 0.0
+        self.judge()
+        self.watch_room()
 
     def on_req_sums(self, event):
-        self.reqs[event.kind] += event.reqs
+        if self.room >= 1.0:  # later, refused clients that come again would count for more than they ask
+            self.reqs[event.kind] += event.reqs
         proxy = self.proxies.get(event.proxy)
         if proxy and event.span:
             heard = proxy.heard.setdefault(event.kind, event.reqs / event.span)
@@ -536,19 +542,23 @@
         """The share let in: judged by the middle host, since a few that fail are no want of room, once a
         round, since an order's effect is heard no sooner. Refused clients cost nothing; storms feed on
         tries that were let in and failed."""
-        if self.now < self.level_at or self.round_at < self.level_at - self.facts["sums_every"]:
+        if self.now < self.level_at:
             return
         heard = [h for h in self.hosts.values() if h.usable and h.tries >= 2]
         if len(heard) < 3 or not all(self.may_write(p, 0.7) for p in self.joined()):
             return
-        self.level_at = self.now + max(1.0, self.facts["sums_every"])
+        self.level_at = self.now + 0.8
         bad = middle([h.bad / h.tries for h in heard])
         late = middle([h.mean_time for h in heard]) / self.mean_target()
-        if bad > BAD_MUCH or late > LATE_MUCH:
+        util = sum(h.load for h in heard) / len(heard) if "util" in self.facts["report_fields"] else 0.0
+        if 0.3 < util < 0.85 and not self.tight:
+            self.able = self.work / util if not self.able else 0.8 * self.able + 0.2 * self.work / util
+        over = self.work / (FULL * self.able) if self.able and self.work else 1.0
+        if bad > BAD_MUCH or late > LATE_MUCH or over > 1.05:
             if not self.cutting:
                 self.edge = self.room * EDGE
             grave = bad > 2 * BAD_MUCH or late > 1.5 * LATE_MUCH
-            self.room = max(LEAST_LET_IN, self.room * (0.75 if grave else 0.9))
+            self.room = max(LEAST_LET_IN, self.room * (0.75 if grave else 0.9 if over <= 1.05 else max(0.75, 1 / over)))
             self.cutting = True
             if not grave:
                 self.level_at += 1.0  # what was let in before the cut is still being answered
@@ -593,10 +603,8 @@
         if self.watch_at is not None and self.now >= self.watch_at:
             self.watch_at = None
             self.orders.append(our.WatchRoster(True))
-        if self.judged_round != self.rounds:
-            self.judged_round = self.rounds
-            self.judge()
-        self.watch_room()
+        if self.round_open and self.now - self.round_at >= ROUND_WAIT:
+            self.end_round()
         for host in self.hosts.values():
             self.tend(host)
 
