--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -49,7 +49,6 @@
 REGAIN_PAST = 0.03  # and past the edge
 EDGE = 0.75  # of the level at which a storm began: surely carried
 LEAST_LET_IN = 0.2
-FULL = 0.92  # of what the fleet was seen able to do, what is let in
 COLD_PART = 0.5  # of the load that pushes a cold host over, what is planned for it
 COLD_STEPS = (0.06, 0.12, 0.25, 0.5, 0.75, 1.0)
 
@@ -112,7 +111,7 @@
         self.now, self.orders = None, []
         self.queue, self.queue_at = 0.0, 0.0
         self.rounds, self.round_at = 0, -1e9
-        self.round_open, self.work, self.able = False, 0.0, 0.0
+        self.round_open = False
         self.round_tries = self.round_good = self.demand = self.pace = 0.0
         self.stage_at = 0.0
         self.reqs = [1.0] * len(settings["req_kinds"])
@@ -444,7 +443,6 @@
         usable = max(1, sum(h.usable for h in self.hosts.values()))
         self.demand = max(self.demand * 0.8, self.round_tries)
         self.pace = max(self.pace * 0.98, self.round_good / usable)
-        self.work = self.round_tries * self.mean_target() / usable
         self.round_tries = self.round_good = 0.0
         self.judge()
         self.watch_room()
@@ -473,8 +471,8 @@
         heard = [h for h in ready if h.usable and h.tries >= 2]
         usual_bad = middle([h.bad / h.tries for h in heard])
         usual_time, usual_load = middle([h.mean_time for h in heard]), middle([h.load for h in heard])
-        tight = usual_load - 0.9, usual_time / self.mean_target() - 0.75 * LATE_MUCH, usual_bad - BAD_MUCH / 2
-        self.tight = max(tight) > (-0.05 if self.tight else 0.0)
+        strains = usual_load / 0.9, usual_time / self.mean_target() / (0.75 * LATE_MUCH), 2 * usual_bad / BAD_MUCH
+        self.tight = max(strains) > (0.8 if self.tight else 1.0)
         failing_probes = sum(h.probe_fails > 0 for h in ready)
         for host in ready:
             if host.out_until is not None:
@@ -550,19 +548,15 @@
         self.level_at = self.now + 0.8
         bad = middle([h.bad / h.tries for h in heard])
         late = middle([h.mean_time for h in heard]) / self.mean_target()
-        util = sum(h.load for h in heard) / len(heard) if "util" in self.facts["report_fields"] else 0.0
-        if 0.3 < util < 0.85 and not self.tight:
-            self.able = self.work / util if not self.able else 0.8 * self.able + 0.2 * self.work / util
-        over = self.work / (FULL * self.able) if self.able and self.work else 1.0
-        if bad > BAD_MUCH or late > LATE_MUCH or over > 1.05:
+        load = middle([h.load for h in heard])
+        if bad > BAD_MUCH or late > LATE_MUCH:
             if not self.cutting:
                 self.edge = self.room * EDGE
             grave = bad > 2 * BAD_MUCH or late > 1.5 * LATE_MUCH
-            self.room = max(LEAST_LET_IN, self.room * (0.75 if grave else 0.9 if over <= 1.05 else max(0.75, 1 / over)))
+            self.room = max(LEAST_LET_IN, self.room * (0.75 if grave else 0.9))
             self.cutting = True
-            if not grave:
-                self.level_at += 1.0  # what was let in before the cut is still being answered
-        else:
+            self.level_at += 2.0 if grave else 1.0  # what was let in before the cut is still being heard of
+        elif late < 0.7 * LATE_MUCH and load < 0.8:
             # Back fast to what was surely carried, slowly past it: a second storm costs more than the wait.
             self.room = min(1.0, self.room * REGAIN if self.room < self.edge else self.room + REGAIN_PAST)
             self.cutting = False
