--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -378,12 +378,12 @@
         self.orders.append(our.LogLine(f"host {host.id} reach {reach}, without {sorted(host.spared)}"))
 
     def cold_share(self, host):
-        """Within what a cold host bears, by tries as heard. Once the fleet is tight it gets none: proxies
-        that shun full hosts send all they have to the empty one, and a storm outruns its sums."""
+        """Within what a cold host bears, by tries as heard. A storm outruns its sums: once the fleet is
+        tight it gets little, and none where proxies shun full hosts and send all to the empty one."""
         if host.cold_from is None:
             return host.step
         if self.tight:
-            return 0.0
+            return 0.0 if self.facts.get("fails_to_shun") else COLD_STEPS[1]
         age = min(1.0, (self.now - host.cold_from) / self.facts["warm_after"])
         able = self.facts["cold_share"] + (1 - self.facts["cold_share"]) * age
         bears = self.facts["tip_multiple"] * able
@@ -471,7 +471,8 @@
         heard = [h for h in ready if h.usable and h.tries >= 2]
         usual_bad = middle([h.bad / h.tries for h in heard])
         usual_time, usual_load = middle([h.mean_time for h in heard]), middle([h.load for h in heard])
-        strains = usual_load / 0.9, usual_time / self.mean_target() / (0.75 * LATE_MUCH), 2 * usual_bad / BAD_MUCH
+        late = usual_time / self.mean_target()
+        strains = usual_load / 0.9, late / (0.75 * LATE_MUCH), 2 * usual_bad / BAD_MUCH
         self.tight = max(strains) > (0.8 if self.tight else 1.0)
         failing_probes = sum(h.probe_fails > 0 for h in ready)
         for host in ready:
