--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -49,8 +49,8 @@
 REGAIN_PAST = 0.03  # and past the edge
 EDGE = 0.75  # of the level at which a storm began: surely carried
 LEAST_LET_IN = 0.2
-COLD_PART = 0.5  # of the load that pushes a cold host over, what is planned for it
-COLD_STEPS = (0.06, 0.12, 0.25, 0.5, 0.75, 1.0)
+COLD_PART = 0.3  # of the load that pushes a cold host over, what is planned for it
+COLD_STEPS = (0.06, 0.12, 0.18, 0.25, 0.37, 0.5, 0.75, 1.0)
 
 
 def middle(values):
@@ -112,7 +112,6 @@
         self.queue, self.queue_at = 0.0, 0.0
         self.rounds, self.round_at = 0, -1e9
         self.round_open = False
-        self.round_tries = self.round_good = self.demand = self.pace = 0.0
         self.stage_at = 0.0
         self.reqs = [1.0] * len(settings["req_kinds"])
         self.room, self.level_at, self.levels = 1.0, 0.0, None
@@ -378,20 +377,16 @@
         self.orders.append(our.LogLine(f"host {host.id} reach {reach}, without {sorted(host.spared)}"))
 
     def cold_share(self, host):
-        """Within what a cold host bears, by tries as heard. A storm outruns its sums: once the fleet is
-        tight it gets little, and none where proxies shun full hosts and send all to the empty one."""
+        """A part of what pushes it over by now. A storm outruns its sums: once the fleet is tight, a cold
+        host gets little, and none where proxies shun full hosts and so send all to the empty one."""
         if host.cold_from is None:
             return host.step
         if self.tight:
             return 0.0 if self.facts.get("fails_to_shun") else COLD_STEPS[1]
         age = min(1.0, (self.now - host.cold_from) / self.facts["warm_after"])
         able = self.facts["cold_share"] + (1 - self.facts["cold_share"]) * age
-        bears = self.facts["tip_multiple"] * able
-        # Where the lighter of two drawn is taken, an empty host wins each draw it is in.
-        calm = bears * (0.2 if self.facts.get("pick") == "lighter of two" else 0.25)
-        total = sum(h.share for h in self.hosts.values() if h.usable)
-        heard = COLD_PART * bears * self.pace * total / max(1e-9, self.demand)
-        return max((s for s in COLD_STEPS if s <= min(host.step, calm, heard)), default=0.0)
+        most = min(host.step, COLD_PART * self.facts["tip_multiple"] * able)
+        return max((s for s in COLD_STEPS if s <= most), default=0.0)
 
     # Proxies that come and go.
 
@@ -427,8 +422,6 @@
             self.round_at, self.round_open = self.now, True
         if host is None:
             return
-        self.round_tries += event.tries / event.span
-        self.round_good += (event.tries - event.bad) / event.span
         host.tries += event.tries
         host.bad += event.bad
         if event.tries > event.bad:
@@ -440,10 +433,6 @@
 
     def end_round(self):
         self.rounds, self.round_open = self.rounds + 1, False
-        usable = max(1, sum(h.usable for h in self.hosts.values()))
-        self.demand = max(self.demand * 0.8, self.round_tries)
-        self.pace = max(self.pace * 0.98, self.round_good / usable)
-        self.round_tries = self.round_good = 0.0
         self.judge()
         self.watch_room()
 
