--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -382,7 +382,7 @@
         if host.cold_from is None:
             return host.step
         if self.tight:
-            return 0.0 if self.facts.get("fails_to_shun") else COLD_STEPS[1]
+            return 0.0 if self.facts.get("fails_to_shun") else COLD_STEPS[0]
         age = min(1.0, (self.now - host.cold_from) / self.facts["warm_after"])
         able = self.facts["cold_share"] + (1 - self.facts["cold_share"]) * age
         most = min(host.step, COLD_PART * self.facts["tip_multiple"] * able)
@@ -462,7 +462,7 @@
         usual_time, usual_load = middle([h.mean_time for h in heard]), middle([h.load for h in heard])
         late = usual_time / self.mean_target()
         strains = usual_load / 0.9, late / (0.75 * LATE_MUCH), 2 * usual_bad / BAD_MUCH
-        self.tight = max(strains) > (0.8 if self.tight else 1.0)
+        self.tight = self.room < 1.0 or max(strains) > (0.8 if self.tight else 1.0)
         failing_probes = sum(h.probe_fails > 0 for h in ready)
         for host in ready:
             if host.out_until is not None:
