--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -39,7 +39,7 @@
 STAGE_GAP = 0.2  # mean seconds between two stages
 TICK = 0.1
 ROUND_WAIT = 0.2  # until all the sums of a round are in
-FADE = 0.95  # what a tick leaves of the sums heard
+FADE = 0.4  # what a second leaves of the sums heard
 PROBE_EVERY = 1.0
 PROBE_AGAIN = 0.3
 ROUNDS_HEARD = 3
@@ -435,6 +435,10 @@
         self.rounds, self.round_open = self.rounds + 1, False
         self.judge()
         self.watch_room()
+        # Fading is quick: once little is let in, the many failures of a storm outweigh the few good sums.
+        keep = FADE ** self.facts["sums_every"]
+        for host in self.hosts.values():
+            host.tries, host.bad, host.answer_time = host.tries * keep, host.bad * keep, host.answer_time * keep
 
     def on_req_sums(self, event):
         if self.room >= 1.0:  # later, refused clients that come again would count for more than they ask
@@ -499,7 +503,6 @@
 
     def tend(self, host):
         """What time alone brings a host: its return, its next step, its next probe."""
-        host.tries, host.bad, host.answer_time = host.tries * FADE, host.bad * FADE, host.answer_time * FADE
         # A shallow probe passes on a hung host: a pass counts only where probes had told the failure.
         if host.out_until is not None and (
                 host.probe_passes >= 2 if host.out_by_probe else self.now >= host.out_until):
