--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -49,6 +49,7 @@
 REGAIN_PAST = 0.02  # and past the edge
 EDGE = 0.75  # of the level at which a storm began: surely carried
 LEAST_LET_IN = 0.2
+FULL = 0.9  # of the hosts' room, what may be in use when some leave
 COLD_PART = 0.3  # of the load that pushes a cold host over, what is planned for it
 COLD_STEPS = (0.06, 0.12, 0.18, 0.25, 0.37, 0.5, 0.75, 1.0)
 
@@ -115,6 +116,7 @@
         self.stage_at = 0.0
         self.reqs = [1.0] * len(settings["req_kinds"])
         self.room, self.level_at, self.levels = 1.0, 0.0, None
+        self.able = self.able_at = self.filled = 0.0  # weights of hosts, all and as far as they are in use
         self.edge, self.cutting, self.tight = 1.0, False, False
         self.dirty, self.sunk = set(), False
         self.plan, self.plan_at = {}, 0.0
@@ -139,6 +141,7 @@
             self.keep_plan()
         self.bind_waiting()
         self.remove_lost()
+        self.foresee_room()
         self.publish_stage()
         return self.orders
 
@@ -542,6 +545,8 @@
         bad = middle([h.bad / h.tries for h in heard])
         late = middle([h.mean_time for h in heard]) / self.mean_target()
         load = middle([h.load for h in heard])
+        if "util" in self.facts["report_fields"] and self.room >= 1.0 and self.now - self.able_at > 3:
+            self.filled += (sum(h.load for h in heard) / len(heard) * self.able - self.filled) / 2
         if bad > BAD_MUCH or late > LATE_MUCH:
             if not self.cutting:
                 self.edge = self.room * EDGE
@@ -555,6 +560,17 @@
             self.cutting = False
         self.order_levels()
 
+    def foresee_room(self):
+        """Hosts that leave take their room with them at once, which the sums tell seconds later: less is let
+        in by what they leave, as far as load reports told how full the fleet was."""
+        able = sum(h.share * h.weight for h in self.hosts.values() if h.usable)
+        if able < self.able and self.filled * self.room > FULL * able > 0:
+            self.room = max(LEAST_LET_IN, FULL * able / self.filled)
+            self.edge, self.cutting, self.level_at = self.room, True, self.now + 2.0
+            self.order_levels()
+        if able != self.able:
+            self.able, self.able_at = able, self.now
+
     def mean_target(self):
         kinds = self.facts["req_kinds"]
         return sum(n * k["response_target"] for n, k in zip(self.reqs, kinds)) / sum(self.reqs)
