--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -45,8 +45,7 @@
 ROUNDS_HEARD = 3
 BAD_MUCH = 0.1  # part of its tries that fails at the middle host of a fleet without room
 LATE_MUCH = 0.42  # or its answers take this part of the response target
-REGAIN = 1.25  # what one round with room gives back, by factor
-REGAIN_PAST = 0.02  # and past the edge
+REGAIN_PAST = 0.02  # what one round with room gives back past the edge
 EDGE = 0.75  # of the level at which a storm began: surely carried
 LEAST_LET_IN = 0.2
 FULL = 0.9  # of the hosts' room, what may be in use when some leave
@@ -548,15 +547,16 @@
         if "util" in self.facts["report_fields"] and self.room >= 1.0 and self.now - self.able_at > 3:
             self.filled += (sum(h.load for h in heard) / len(heard) * self.able - self.filled) / 2
         if bad > BAD_MUCH or late > LATE_MUCH:
-            if not self.cutting:
-                self.edge = self.room * EDGE
-            grave = bad > 2 * BAD_MUCH or late > 1.5 * LATE_MUCH
-            self.room = max(LEAST_LET_IN, self.room * (0.75 if grave else 0.9))
+            grave = bad > 3 * BAD_MUCH or late > 2 * LATE_MUCH
+            if grave or not self.cutting:
+                self.edge = EDGE * (self.edge if self.cutting else self.room)
+            # Full queues hold work whose clients have gone: little is let in until it is done.
+            self.room = LEAST_LET_IN if grave else max(LEAST_LET_IN, self.room * 0.9)
             self.cutting = True
             self.level_at += 2.0 if grave else 1.0  # what was let in before the cut is still being heard of
         elif late < 0.7 * LATE_MUCH and load < 0.8:
             # Back fast to what was surely carried, slowly past it: a second storm costs more than the wait.
-            self.room = min(1.0, self.room * REGAIN if self.room < self.edge else self.room + REGAIN_PAST)
+            self.room = min(1.0, max(self.edge, self.room + REGAIN_PAST))
             self.cutting = False
         self.order_levels()
 
