--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -33,15 +33,13 @@
 FIRST_REGAIN = 10.0  # how long a slow host does without the shards it left, doubled when it is slow again
 QUIET_WAIT = 10.0  # a dropped member's first wait, doubled each time that it fails again
 LONGEST_WAIT = 60.0
-PLAN_EVERY = 2.0
-PLAN_SLACK = 0.15
+PLAN_EVERY, PLAN_SLACK = 2.0, 0.15  # seconds; the part of a zone's plan that must change to move a size
 STAGES = 10  # deltas reach this fraction of the proxies at a time
 STAGE_GAP = 0.2  # mean seconds between two stages
 TICK = 0.1
 ROUND_WAIT = 0.2  # until all the sums of a round are in
 FADE = 0.25  # what a second leaves of the sums heard
-PROBE_EVERY = 1.0
-PROBE_AGAIN = 0.3
+PROBE_EVERY, PROBE_AGAIN = 1.0, 0.3  # seconds; after a failure sooner
 ROUNDS_HEARD = 3
 BAD_MUCH = 0.1  # part of its tries that fails at the middle host of a fleet without room
 LATE_MUCH = 0.42  # or its answers take this part of the response target
@@ -105,36 +103,30 @@
         self.facts = settings
         rng = Random(seed)
         self.draw, self.shuffle = rng.uniform, rng.shuffle
-        self.hosts = {}
-        self.proxies = {}
+        self.hosts, self.proxies, self.orders = {}, {}, []
         self.group_open = self.group_kinds()
-        self.now, self.orders = None, []
-        self.queue, self.queue_at = 0.0, 0.0
-        self.rounds, self.round_at = 0, -1e9
-        self.round_open = False
-        self.stage_at = 0.0
+        self.now, self.listed = None, False
+        self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else None
+        self.queue = self.queue_at = self.stage_at = 0.0
+        self.rounds, self.round_at, self.round_open = 0, -1e9, False
         self.reqs = [1.0] * len(settings["req_kinds"])
         self.room, self.level_at, self.levels = 1.0, 0.0, None
-        self.able = self.able_at = self.filled = 0.0  # weights of hosts, all and as far as they are in use
         self.edge, self.cutting, self.tight = 1.0, False, False
+        self.able = self.able_at = self.filled = 0.0  # weights of hosts, all and as far as they are in use
         self.dirty, self.sunk = set(), False
         self.plan, self.plan_at = {}, 0.0
-        self.listed = False
-        self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else None
         self.handlers = {
             our.Roster: self.on_roster, our.ProxyJoined: self.on_joined, our.ProxyLeft: self.on_left,
             our.HostSums: self.on_host_sums, our.ProbeResult: self.on_probe, our.TimerFired: self.on_timer,
             our.ReqSums: self.on_req_sums}
 
     def decide(self, now, events):
-        started, self.now, self.orders = self.now is not None, now, []
-        if not started:
+        first, self.now, self.orders = self.now is None, now, []
+        if first:
             self.orders.append(our.SetTimer(0, TICK))
             self.order_levels()
         for event in events:
-            handler = self.handlers.get(type(event))
-            if handler:
-                handler(event)
+            self.handlers.get(type(event), lambda _: None)(event)
         if self.now >= self.plan_at and self.hosts:
             self.plan_at = self.now + PLAN_EVERY
             self.keep_plan()
@@ -144,6 +136,7 @@
         self.publish_stage()
         return self.orders
 
+    @property
     def joined(self):
         return [p for p in self.proxies.values() if p.joined]
 
@@ -177,7 +170,7 @@
         steward's own proxies bring is known; if each steward spreads its own evenly, so do all together."""
         work = [n * k["response_target"] for n, k in zip(self.reqs, self.facts["req_kinds"])]
         brought = {}
-        for proxy in self.joined():
+        for proxy in self.joined:
             brought[proxy.zone] = brought.get(proxy.zone, 0.0) + max(0.1, proxy.rate)
         load, plan, rooms = {}, {}, []
         for group, ((_, _, own_zone), kinds) in enumerate(self.group_open):
@@ -274,7 +267,7 @@
             self.book(proxy, 1)
 
     def bind_waiting(self):
-        for proxy in self.joined():
+        for proxy in self.joined:
             if proxy.bound or not self.hosts or self.now < proxy.hold_until and self.rounds < ROUNDS_HEARD:
                 continue
             self.write_table(proxy)
@@ -285,7 +278,7 @@
 
     def remove_lost(self):
         """Hosts that drain, went or were dropped leave every table at once: their reqs are lost reqs."""
-        for proxy in self.joined():
+        for proxy in self.joined:
             for group, lines in enumerate(proxy.lines if proxy.bound else ()):
                 lost = [h for h in lines if not self.hosts[h].usable]
                 if lost and len(lost) == len(lines):
@@ -346,7 +339,7 @@
     def withdraw(self, host, on):
         host.withdrawn = on
         self.orders.append(our.Withdraw(host.id, on))
-        for proxy in self.joined():
+        for proxy in self.joined:
             if not proxy.bound or any(host.id in lines for lines in proxy.lines):
                 self.book(proxy, 1)
 
@@ -368,13 +361,12 @@
 
     def set_reach(self, host, reach):
         """Of the proxies, by what they bring, those that rank the host lowest do without it."""
-        host.reach = reach
-        spare, host.spared = (1 - reach) * sum(p.rate for p in self.joined()), set()
-        for proxy in sorted(self.joined(), key=lambda p: self.rank(p, host), reverse=True):
+        host.reach, host.regain_at = reach, self.now + host.regain_wait if reach < 1 else None
+        spare, host.spared = (1 - reach) * sum(p.rate for p in self.joined), set()
+        for proxy in sorted(self.joined, key=lambda p: self.rank(p, host), reverse=True):
             if proxy.rate / 2 < spare:
                 host.spared.add(proxy.number)
                 spare -= proxy.rate
-        host.regain_at = self.now + host.regain_wait if reach < 1 else None
         self.all_dirty()
         self.orders.append(our.LogLine(f"host {host.id} reach {reach}, without {sorted(host.spared)}"))
 
@@ -455,10 +447,10 @@
         host = self.hosts.get(event.host)
         if host is None or event.outcome == "denied":
             return
-        if event.outcome == "ok":
-            host.probe_fails, host.probe_passes = 0, host.probe_passes + 1
-        else:
-            host.probe_fails, host.probe_passes = host.probe_fails + 1, 0
+        passed = event.outcome == "ok"
+        host.probe_passes = host.probe_passes + 1 if passed else 0
+        host.probe_fails = 0 if passed else host.probe_fails + 1
+        if not passed:
             host.probe_at = min(host.probe_at, self.now + PROBE_AGAIN)
 
     def judge(self):
@@ -525,7 +517,7 @@
             self.sunk |= share < host.share
             host.share = share
             self.all_dirty()
-        if self.facts.get("probing") and host.phase == "ready" and self.now >= host.probe_at:
+        if host.phase == "ready" and self.now >= host.probe_at and self.facts.get("probing"):
             host.probe_at = self.now + PROBE_EVERY * self.draw(0.9, 1.1)
             self.orders.append(our.Probe(host.id))
 
@@ -538,7 +530,7 @@
         if self.now < self.level_at:
             return
         heard = [h for h in self.hosts.values() if h.usable and h.tries >= 2]
-        if len(heard) < 3 or not all(self.may_write(p, 0.7) for p in self.joined()):
+        if len(heard) < 3 or not all(self.may_write(p, 0.7) for p in self.joined):
             return
         self.level_at = self.now + 0.8
         bad = middle([h.bad / h.tries for h in heard])
@@ -551,13 +543,11 @@
             if grave or not self.cutting:
                 self.edge = EDGE * (self.edge if self.cutting else self.room)
             # Full queues hold work whose clients have gone: little is let in until it is done.
-            self.room = LEAST_LET_IN if grave else max(LEAST_LET_IN, self.room * 0.9)
-            self.cutting = True
+            self.room, self.cutting = LEAST_LET_IN if grave else max(LEAST_LET_IN, self.room * 0.9), True
             self.level_at += 2.0 if grave else 1.0  # what was let in before the cut is still being heard of
         elif late < 0.7 * LATE_MUCH and load < 0.8:
             # Back fast to what was surely carried, slowly past it: a second storm costs more than the wait.
-            self.room = min(1.0, max(self.edge, self.room + REGAIN_PAST))
-            self.cutting = False
+            self.room, self.cutting = min(1.0, max(self.edge, self.room + REGAIN_PAST)), False
         self.order_levels()
 
     def foresee_room(self):
@@ -598,7 +588,7 @@
                 if not self.levels or levels[at] != self.levels[at]:
                     self.orders.append(our.Admit(None, (at,), levels[at], "unstarted"))
             self.levels = levels
-            for proxy in self.joined():
+            for proxy in self.joined:
                 self.book(proxy, 1)
 
     def on_timer(self, event):
