--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -111,7 +111,7 @@
         self.rounds, self.round_at, self.round_open = 0, -1e9, False
         self.reqs = [1.0] * len(settings["req_kinds"])
         self.room, self.level_at, self.levels = 1.0, 0.0, None
-        self.edge, self.cutting, self.tight = 1.0, False, False
+        self.edge, self.cutting, self.stormy, self.tight = 1.0, False, False, False
         self.able = self.able_at = self.filled = 0.0  # weights of hosts, all and as far as they are in use
         self.dirty, self.sunk = set(), False
         self.plan, self.plan_at = {}, 0.0
@@ -539,15 +539,20 @@
         if "util" in self.facts["report_fields"] and self.room >= 1.0 and self.now - self.able_at > 3:
             self.filled += (sum(h.load for h in heard) / len(heard) * self.able - self.filled) / 2
         if bad > BAD_MUCH or late > LATE_MUCH:
-            grave = bad > 3 * BAD_MUCH or late > 2 * LATE_MUCH
+            # Full queues hold work whose clients have gone: little is let in until it is done. Two rounds
+            # must tell so: sums that a stall held back all come at once and look like a storm.
+            storm = bad > 3 * BAD_MUCH or late > 2 * LATE_MUCH
+            grave = storm and self.stormy
             if grave or not self.cutting:
                 self.edge = EDGE * (self.edge if self.cutting else self.room)
-            # Full queues hold work whose clients have gone: little is let in until it is done.
-            self.room, self.cutting = LEAST_LET_IN if grave else max(LEAST_LET_IN, self.room * 0.9), True
-            self.level_at += 2.0 if grave else 1.0  # what was let in before the cut is still being heard of
+            self.room = LEAST_LET_IN if grave else max(LEAST_LET_IN, self.room * 0.9)
+            self.cutting, self.stormy = True, storm
+            # What was let in before the cut is still being heard of.
+            self.level_at += 2.0 if grave else 0.0 if storm else 1.0
         elif late < 0.7 * LATE_MUCH and load < 0.8:
             # Back fast to what was surely carried, slowly past it: a second storm costs more than the wait.
             self.room, self.cutting = min(1.0, max(self.edge, self.room + REGAIN_PAST)), False
+            self.stormy = False
         self.order_levels()
 
     def foresee_room(self):
