--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -46,7 +46,6 @@
 REGAIN_PAST = 0.02  # what one round with room gives back past the edge
 EDGE = 0.75  # of the level at which a storm began: surely carried
 LEAST_LET_IN = 0.2
-FULL = 0.9  # of the hosts' room, what may be in use when some leave
 COLD_PART = 0.3  # of the load that pushes a cold host over, what is planned for it
 COLD_STEPS = (0.06, 0.12, 0.18, 0.25, 0.37, 0.5, 0.75, 1.0)
 
@@ -112,7 +111,6 @@
         self.reqs = [1.0] * len(settings["req_kinds"])
         self.room, self.level_at, self.levels = 1.0, 0.0, None
         self.edge, self.cutting, self.stormy, self.tight = 1.0, False, False, False
-        self.able = self.able_at = self.filled = 0.0  # weights of hosts, all and as far as they are in use
         self.dirty, self.sunk = set(), False
         self.plan, self.plan_at = {}, 0.0
         self.handlers = {
@@ -132,7 +130,6 @@
             self.keep_plan()
         self.bind_waiting()
         self.remove_lost()
-        self.foresee_room()
         self.publish_stage()
         return self.orders
 
@@ -529,15 +526,14 @@
         tries that were let in and failed."""
         if self.now < self.level_at:
             return
-        heard = [h for h in self.hosts.values() if h.usable and h.tries >= 2]
+        # Few tries a host are enough: when little is let in, nothing else would ever tell that all is well.
+        heard = [h for h in self.hosts.values() if h.usable and h.tries >= 0.5]
         if len(heard) < 3 or not all(self.may_write(p, 0.7) for p in self.joined):
             return
         self.level_at = self.now + 0.8
         bad = middle([h.bad / h.tries for h in heard])
         late = middle([h.mean_time for h in heard]) / self.mean_target()
         load = middle([h.load for h in heard])
-        if "util" in self.facts["report_fields"] and self.room >= 1.0 and self.now - self.able_at > 3:
-            self.filled += (sum(h.load for h in heard) / len(heard) * self.able - self.filled) / 2
         if bad > BAD_MUCH or late > LATE_MUCH:
             # Full queues hold work whose clients have gone: little is let in until it is done. Two rounds
             # must tell so: sums that a stall held back all come at once and look like a storm.
@@ -555,17 +551,6 @@
             self.stormy = False
         self.order_levels()
 
-    def foresee_room(self):
-        """Hosts that leave take their room with them at once, which the sums tell seconds later: less is let
-        in by what they leave, as far as load reports told how full the fleet was."""
-        able = sum(h.share * h.weight for h in self.hosts.values() if h.usable)
-        if able < self.able and self.filled * self.room > FULL * able > 0:
-            self.room = max(LEAST_LET_IN, FULL * able / self.filled)
-            self.edge, self.cutting, self.level_at = self.room, True, self.now + 2.0
-            self.order_levels()
-        if able != self.able:
-            self.able, self.able_at = able, self.now
-
     def mean_target(self):
         kinds = self.facts["req_kinds"]
         return sum(n * k["response_target"] for n, k in zip(self.reqs, kinds)) / sum(self.reqs)
