--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -44,8 +44,8 @@
 BAD_MUCH = 0.1  # part of its tries that fails at the middle host of a fleet without room
 LATE_MUCH = 0.42  # or its answers take this part of the response target
 REGAIN_PAST = 0.02  # what one round with room gives back past the edge
-EDGE = 0.75  # of the level at which a storm began: surely carried
-LEAST_LET_IN = 0.2
+EDGE = 0.85  # of the level at which a storm began: surely carried
+LEAST_LET_IN, LEAST_OF_ONE = 0.2, 0.05  # of all kinds, of one
 COLD_PART = 0.3  # of the load that pushes a cold host over, what is planned for it
 COLD_STEPS = (0.06, 0.12, 0.18, 0.25, 0.37, 0.5, 0.75, 1.0)
 
@@ -567,11 +567,11 @@
         shed = sum(work) * (1 - self.room)
         levels = [self.room] * len(kinds)
         if cost[first] < 1:
-            taken = min(shed, work[first] * (1 - LEAST_LET_IN))
+            taken = min(shed, work[first] * (1 - LEAST_OF_ONE))
             rest = max(1e-9, sum(work) - work[first])
             levels = [1 - (shed - taken) / rest] * len(kinds)
             levels[first] = 1 - taken / work[first]
-        levels = [round(max(0.05, level), 2) for level in levels]
+        levels = [round(max(LEAST_OF_ONE, level), 2) for level in levels]
         if levels != self.levels:
             self.orders.append(our.LogLine(f"levels {levels}"))
             for at in range(len(kinds)):
