--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -24,7 +24,7 @@
 from . import interface as our
 
 COVERAGE = 25.0  # shards of this steward's proxies that each host should sit in
-LEAST_A_ZONE = 2
+LEAST_A_ZONE = 1
 FIRST_SHARE = 0.25  # part of its weight that a new or returning host starts with
 RAMP = 10.0  # seconds from there to the full weight
 STEP = 0.25  # in steps of this part of it
@@ -33,6 +33,7 @@
 FIRST_REGAIN = 10.0  # how long a slow host does without the shards it left, doubled when it is slow again
 QUIET_WAIT = 10.0  # a dropped member's first wait, doubled each time that it fails again
 LONGEST_WAIT = 60.0
+ROOMY = 0.6  # part of its cores that a zone may use although others use less
 PLAN_EVERY, PLAN_SLACK = 2.0, 0.15  # seconds; the part of a zone's plan that must change to move a size
 STAGES = 10  # deltas reach this fraction of the proxies at a time
 STAGE_GAP = 0.2  # mean seconds between two stages
@@ -163,13 +164,15 @@
 
     def plan_zones(self):
         """By group and zone of proxies, the part of their reqs that each zone should take: every zone's hosts
-        alike full, kinds with fewest open hosts first, and no req crosses that need not. Only what this
-        steward's own proxies bring is known; if each steward spreads its own evenly, so do all together."""
+        alike full, or unlike while all have room, kinds with fewest open hosts first, and no req crosses that
+        need not. A steward spreads what its own proxies bring: if each does so evenly, all together do."""
         work = [n * k["response_target"] for n, k in zip(self.reqs, self.facts["req_kinds"])]
         brought = {}
         for proxy in self.joined:
             brought[proxy.zone] = brought.get(proxy.zone, 0.0) + max(0.1, proxy.rate)
         load, plan, rooms = {}, {}, []
+        used = middle([h.load for h in self.hosts.values() if h.usable])
+        slack = min(2.0, max(1.0, ROOMY / used)) if used and "util" in self.facts["report_fields"] else 1.0
         for group, ((_, _, own_zone), kinds) in enumerate(self.group_open):
             room = {zone: sum(h.weight for h in hosts if h.usable)
                     for zone, hosts in self.open_hosts(group, None).items() if any(h.usable for h in hosts)}
@@ -178,13 +181,16 @@
         for _, group, room, part in sorted(rooms, key=lambda r: r[:2]):
             asked = {zone: rate * part for zone, rate in brought.items()}
             taken = self.fill(room, load, sum(asked.values()))
-            at_home = {z: min(asked.get(z, 0.0), taken[z]) for z in room}
-            spare = {z: taken[z] - at_home[z] for z in room}
+            at_home = {z: min(asked.get(z, 0.0), taken[z] * slack) for z in room}
+            spare = {z: max(0.0, taken[z] - at_home[z]) for z in room}
+            away = 1 / max(1e-9, sum(spare.values()))
+            leave = sum(asked.values()) - sum(at_home.values())
+            for zone in room:
+                load[zone] = load.get(zone, 0.0) + at_home[zone] + leave * spare[zone] * away
             for zone, amount in asked.items():
-                leaves = 1 - at_home.get(zone, 0.0) / amount
-                away = leaves / max(1e-9, sum(spare.values()))
+                stays = at_home.get(zone, 0.0) / amount
                 plan[group, zone] = {
-                    z: (away * spare[z] + (1 - leaves) * (z == zone)) / room[z] for z in room}
+                    z: ((1 - stays) * spare[z] * away + stays * (z == zone)) / room[z] for z in room}
         return plan
 
     @staticmethod
@@ -196,10 +202,7 @@
             level = (amount + sum(load.get(z, 0.0) for z in into)) / sum(room[z] for z in into)
             if level * room[into[-1]] >= load.get(into[-1], 0.0):
                 break
-        taken = {z: level * room[z] - load.get(z, 0.0) if z in into else 0.0 for z in room}
-        for zone, more in taken.items():
-            load[zone] = load.get(zone, 0.0) + more
-        return taken
+        return {z: level * room[z] - load.get(z, 0.0) if z in into else 0.0 for z in room}
 
     def keep_plan(self):
         """Sizes hold still while the plan only wavers: each change of a size reopens connections. A part of a
