--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -174,8 +174,9 @@
         used = middle([h.load for h in self.hosts.values() if h.usable])
         slack = min(2.0, max(1.0, ROOMY / used)) if used and "util" in self.facts["report_fields"] else 1.0
         for group, ((_, _, own_zone), kinds) in enumerate(self.group_open):
-            room = {zone: sum(h.weight for h in hosts if h.usable)
-                    for zone, hosts in self.open_hosts(group, None).items() if any(h.usable for h in hosts)}
+            room = {zone: sum(h.weight * h.share * h.reach for h in hosts if h.usable)
+                    for zone, hosts in self.open_hosts(group, None).items()}
+            room = {zone: much for zone, much in room.items() if much}
             if room and not own_zone:
                 rooms.append((sum(room.values()), group, room, sum(work[k] for k in kinds) / sum(work)))
         for _, group, room, part in sorted(rooms, key=lambda r: r[:2]):
@@ -375,11 +376,11 @@
         host gets little, and none where proxies shun full hosts and so send all to the empty one."""
         if host.cold_from is None:
             return host.step
-        if self.tight:
-            return 0.0 if self.facts.get("fails_to_shun") else COLD_STEPS[0]
+        if self.tight and self.facts.get("fails_to_shun"):
+            return 0.0
         age = min(1.0, (self.now - host.cold_from) / self.facts["warm_after"])
         able = self.facts["cold_share"] + (1 - self.facts["cold_share"]) * age
-        most = min(host.step, COLD_PART * self.facts["tip_multiple"] * able)
+        most = min(host.step, COLD_PART * self.facts["tip_multiple"] * able * (0.4 if self.tight else 1.0))
         return max((s for s in COLD_STEPS if s <= most), default=0.0)
 
     # Proxies that come and go.
