--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -380,7 +380,7 @@
             return 0.0
         age = min(1.0, (self.now - host.cold_from) / self.facts["warm_after"])
         able = self.facts["cold_share"] + (1 - self.facts["cold_share"]) * age
-        most = min(host.step, COLD_PART * self.facts["tip_multiple"] * able * (0.4 if self.tight else 1.0))
+        most = min(host.step, COLD_PART * self.facts["tip_multiple"] * able * (0.25 if self.tight else 1.0))
         return max((s for s in COLD_STEPS if s <= most), default=0.0)
 
     # Proxies that come and go.
@@ -468,7 +468,8 @@
                 continue
             # A deep probe times out at a busy host: only one that answers nothing else is lost.
             silent = self.now - host.good_at > 1.3 * self.facts["sums_every"]
-            if host.probe_fails >= 3 and silent and failing_probes <= max(1, len(ready) * 0.35):
+            if host.probe_fails >= (12 if self.cutting else 3) and silent and (
+                    failing_probes <= max(1, len(ready) * 0.35)):
                 self.drop(host, ready, True)
             elif host in heard:
                 time, part = host.mean_time, host.bad / host.tries
