--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -241,9 +241,10 @@
         eased = [h for h in members if proxy.number not in h.spared]
         if len(eased) * 2 >= len(members):
             members = eased
-        if not any(h.share for h in members):
-            usable = {z: [h for h in hosts if h.usable and h.share] for z, hosts in zones.items()}
-            members = usable.get(proxy.zone) or max(usable.values(), key=len, default=[])
+        if not any(h.cold_from is None for h in members):
+            # Cold hosts alone, however small their weights, would get all that the proxy has.
+            warm = {z: [h for h in hosts if h.usable and h.cold_from is None] for z, hosts in zones.items()}
+            members = members + (warm.get(proxy.zone) or max(warm.values(), key=len, default=[]))
         if not members:
             # No doubt may leave a proxy without a line while the list shows hosts that run.
             members = [h for hosts in zones.values() for h in hosts]
@@ -282,17 +283,19 @@
         for proxy in self.joined:
             for group, lines in enumerate(proxy.lines if proxy.bound else ()):
                 lost = [h for h in lines if not self.hosts[h].usable]
-                if lost and len(lost) == len(lines):
+                # Where only cold hosts would be left, they would get all that the proxy has at once.
+                if lost and not any(self.hosts[h].usable and self.hosts[h].cold_from is None for h in lines):
                     self.write_table(proxy)
-                else:
-                    for host in lost:
-                        self.set_line(proxy, group, host, 0.0)
+                    continue
+                for host in lost:
+                    self.set_line(proxy, group, host, 0.0)
 
     def publish_stage(self):
         """Deltas go to a tenth of the proxies at a time, so that a mistake is met by few at first."""
         if not self.dirty or (self.now < self.stage_at and not self.sunk):
             return
-        waiting = [p for p in map(self.proxies.get, sorted(self.dirty)) if p.bound and self.may_write(p)]
+        part = 0.8 if self.sunk else 0.5  # of its messages
+        waiting = [p for p in map(self.proxies.get, sorted(self.dirty)) if p.bound and self.may_write(p, part)]
         self.shuffle(waiting)
         # A cold host's part that must sink is as urgent as a removal.
         some = len(waiting) if self.sunk else ceil(len(self.proxies) / STAGES)
