--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -48,7 +48,7 @@
 EDGE = 0.85  # of the level at which a storm began: surely carried
 LEAST_LET_IN, LEAST_OF_ONE = 0.2, 0.05  # of all kinds, of one
 COLD_PART = 0.3  # of the load that pushes a cold host over, what is planned for it
-COLD_STEPS = (0.01, 0.03, 0.06, 0.12, 0.18, 0.25, 0.37, 0.5, 0.75, 1.0)
+COLD_STEPS = (0.06, 0.12, 0.18, 0.25, 0.37, 0.5, 0.75, 1.0)
 
 
 def middle(values):
@@ -68,7 +68,7 @@
         self.grow_at = None
         self.reach, self.spared = 1.0, frozenset()  # part of the reqs that may come; proxies that do without
         self.regain_at, self.regain_wait, self.strained_at = None, FIRST_REGAIN, -1e9
-        self.withdrawn, self.brought = False, 0.0
+        self.withdrawn = False
         self.strikes, self.out_until, self.out_by_probe, self.returned_at = 0, None, False, -1e9
         self.probe_at, self.probe_fails, self.probe_passes = 0.0, 0, 0
         self.clear_evidence(now)
@@ -383,23 +383,8 @@
             return 0.0
         age = min(1.0, (self.now - host.cold_from) / self.facts["warm_after"])
         able = self.facts["cold_share"] + (1 - self.facts["cold_share"]) * age
-        most = COLD_PART * self.facts["tip_multiple"] * able * (0.25 if self.tight else 1.0)
-        # Where many hosts of a table are cold, small weights are large parts: what they bring is what counts.
-        bound = min(most, host.share * most / host.brought) if host.brought and host.share else most
-        fits = max((s for s in COLD_STEPS if s <= min(host.step, bound)), default=0.0)
-        return fits if fits <= host.share or most > 1.5 * host.brought else host.share
-
-    def foresee(self):
-        """What the published tables bring each host, as a multiple of a fair part."""
-        fair = max(1e-9, sum(p.rate for p in self.joined)) / max(1, sum(h.usable for h in self.hosts.values()))
-        parts = [sum(self.reqs[kind] for kind in kinds) / sum(self.reqs) for _, kinds in self.group_open]
-        for host in self.hosts.values():
-            host.brought = 0.0
-        for proxy in self.joined:
-            for lines, part in zip(proxy.lines, parts):
-                each = proxy.rate * part / fair / max(1e-9, sum(lines.values()))
-                for host, weight in lines.items():
-                    self.hosts[host].brought += weight * each
+        most = COLD_PART * self.facts["tip_multiple"] * able * (0.4 if self.tight else 1.0)
+        return max((s for s in COLD_STEPS if s <= min(host.step, most)), default=0.0)
 
     # Proxies that come and go.
 
@@ -613,8 +598,6 @@
             self.orders.append(our.WatchRoster(True))
         if self.round_open and self.now - self.round_at >= ROUND_WAIT:
             self.end_round()
-        if any(h.cold_from is not None for h in self.hosts.values()):
-            self.foresee()
         for host in self.hosts.values():
             self.tend(host)
 
