--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -383,7 +383,7 @@
             return 0.0
         age = min(1.0, (self.now - host.cold_from) / self.facts["warm_after"])
         able = self.facts["cold_share"] + (1 - self.facts["cold_share"]) * age
-        most = COLD_PART * self.facts["tip_multiple"] * able * (0.4 if self.tight else 1.0)
+        most = COLD_PART * self.facts["tip_multiple"] * able * (0.7 if self.tight else 1.0)
         return max((s for s in COLD_STEPS if s <= min(host.step, most)), default=0.0)
 
     # Proxies that come and go.
