--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -375,14 +375,15 @@
         self.orders.append(our.LogLine(f"host {host.id} reach {reach}, without {sorted(host.spared)}"))
 
     def cold_share(self, host):
-        """A part of what pushes it over by now; little in a tight fleet where proxies shun hosts that fail
+        """A part of what pushes it over by now; none in a tight fleet where proxies shun hosts that fail
         them: in a storm, which outruns its sums, they shun the full ones and send all to the empty one."""
         if host.cold_from is None:
             return host.step
+        if self.tight and self.facts.get("fails_to_shun"):
+            return 0.0
         age = min(1.0, (self.now - host.cold_from) / self.facts["warm_after"])
         able = self.facts["cold_share"] + (1 - self.facts["cold_share"]) * age
-        care = 0.25 if self.tight and self.facts.get("fails_to_shun") else 1.0
-        most = COLD_PART * self.facts["tip_multiple"] * able * care
+        most = COLD_PART * self.facts["tip_multiple"] * able
         return max((s for s in COLD_STEPS if s <= min(host.step, most)), default=0.0)
 
     # Proxies that come and go.
