--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -47,6 +47,90 @@
         self.assertTrue(made.table(made.proxies[0], 0))
 
 
+    def test_cold_hosts_alone_never_make_a_table(self):
+        made = planner()
+        proxy = made.proxies[0]
+        for host in made.hosts.values():
+            if host.zone == proxy.zone:
+                host.cold_from, host.share = 100.0, 0.06
+        made.facts["req_kinds"][0]["only_zones"] = []
+        lines = made.table(proxy, 0)
+        self.assertTrue(any(made.hosts[h].cold_from is None for h in lines))
+        for host in made.hosts.values():
+            host.cold_from = 100.0 if host.id else None
+        self.assertIn(0, made.table(proxy, 0))
+
+    def test_a_removal_that_leaves_only_cold_hosts_writes_the_table_anew(self):
+        made = planner()
+        proxy = made.proxies[0]
+        made.orders, warm = [], [h for h in made.hosts if h > 3]
+        proxy.lines[0] = {0: 0.06, 1: 1.0}
+        made.hosts[0].cold_from, made.hosts[0].share, made.hosts[1].phase = 100.0, 0.06, "gone"
+        made.remove_lost()
+        self.assertTrue(set(warm) <= set(proxy.lines[0]))
+
+    def test_a_cold_host_takes_no_more_than_a_part_of_what_tips_it_and_none_when_proxies_shun(self):
+        made = planner()
+        host = made.hosts[0]
+        made.now, host.cold_from, host.step = 100.0, 100.0, 1.0
+        self.assertLessEqual(made.cold_share(host), 0.3 * 4.0 * 0.2)
+        made.facts["fails_to_shun"], made.tight = 3, True
+        self.assertEqual(made.cold_share(host), 0.0)
+
+    def test_what_can_be_put_off_waits_once_a_proxy_had_half_its_messages(self):
+        made = planner(messages_most=20)
+        proxy = made.proxies[0]
+        self.assertTrue(made.may_write(proxy))
+        proxy.sent.extend([made.now] * 10)
+        self.assertFalse(made.may_write(proxy))
+
+    def test_a_steward_that_starts_again_leaves_standing_tables_but_not_past_the_limit(self):
+        made = planner()
+        made.rounds = 0
+        made.decide(101.0, [our.ProxyJoined(9, 0, 10.0, False)])
+        self.assertFalse(made.proxies[9].bound)
+        made.decide(102.1, [])
+        self.assertTrue(made.proxies[9].bound)
+
+
+class Levels(unittest.TestCase):
+    def storm(self, made, bad, rounds):
+        for _ in range(rounds):
+            made.now = max(made.now, made.level_at) + 1
+            for host in made.hosts.values():
+                host.tries, host.bad, host.answer_time = 1.0, bad, 0.1
+            made.watch_room()
+
+    def test_one_round_that_looks_like_a_storm_cuts_gently_and_two_cut_to_the_least(self):
+        made = planner()
+        self.storm(made, 0.8, 1)
+        self.assertGreaterEqual(made.room, 0.9)
+        self.storm(made, 0.8, 1)
+        self.assertEqual(made.room, 0.2)
+
+    def test_few_tries_a_host_are_enough_to_let_in_more_again(self):
+        made = planner()
+        made.room, made.edge = 0.2, 0.5
+        self.storm(made, 0.0, 1)
+        self.assertEqual(made.room, 0.5)
+
+    def test_the_kind_that_loses_least_for_its_work_goes_first(self):
+        made = planner()
+        made.reqs, made.room = [60.0, 20.0], 0.5
+        made.order_levels()
+        self.assertLess(made.levels[0][0], 0.6)
+        self.assertEqual(made.levels[1][0], 1.0)
+
+
+class Zones(unittest.TestCase):
+    def test_kinds_open_everywhere_leave_room_in_zones_that_others_depend_on(self):
+        kinds = planner().facts["req_kinds"]
+        made = planner(pick="lighter of two", req_kinds=[{**kinds[0], "only_zones": [0]}, kinds[1]])
+        made.reqs = [10.0, 16.0]
+        plan = made.plan_zones()
+        self.assertGreater(plan[1, 0][1], plan[1, 0][0])
+
+
 class Doubt(unittest.TestCase):
     def test_a_host_that_fails_against_its_peers_is_dropped_and_a_shared_fault_drops_nobody(self):
         made = planner()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -2,6 +2,7 @@
 import struct
 import unittest
 
+from peatlead import adapter
 from peatlead import interface as our
 from peatlead.wire import codec, names
 
@@ -52,3 +53,16 @@
                                      "coversUs": 1000000, "timeTakenUs": 5000, "feedback": (0.5,)})
         self.assertEqual(event, our.HostSums(0, 0, 3, 1, 1.0, 0.005, {"util": 0.5}))
         self.assertEqual(door.order(9, our.Probe(0)), ("TEST", {"host": b"\1\2\3\4\0\7", "i": 9}))
+
+
+class Adapter(unittest.TestCase):
+    def test_an_event_for_an_instance_that_never_started_is_told_plainly(self):
+        with self.assertRaisesRegex(codec.BadInput, "record 0: WAKE for instance 3"):
+            adapter.take_batch({}, 0, [("WAKE", {"i": 3, "token": 1})])
+
+    def test_a_planner_that_raises_is_reported_for_its_instance_alone(self):
+        held = adapter.Instance({"env": {}, "seed": 1})
+        held.planner.decide = lambda now, events: 1 // 0
+        reply = adapter.take_batch({3: held}, 0, [("WAKE", {"i": 3, "token": 1})])
+        self.assertEqual(reply, [("BROKEN", {
+            "i": 3, "reasonText": b"ZeroDivisionError: integer division or modulo by zero"})])
