--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -112,6 +112,7 @@
         self.reqs = [1.0] * len(settings["req_kinds"])
         self.room, self.level_at, self.levels = 1.0, 0.0, None
         self.edge, self.cutting, self.stormy, self.tight = 1.0, False, False, False
+        self.strain_heard = 0.0
         self.dirty, self.sunk = set(), False
         self.plan, self.plan_at = {}, 0.0
         self.handlers = {
@@ -549,14 +550,15 @@
             grave = storm and self.stormy
             if grave or not self.cutting:
                 self.edge = EDGE * (self.edge if self.cutting else self.room)
-            self.room = LEAST_LET_IN if grave else max(LEAST_LET_IN, self.room * 0.9)
-            self.cutting, self.stormy = True, storm
-            # What was let in before the cut is still being heard of.
-            self.level_at += 2.0 if grave else 0.0 if storm else 1.0
+            # What was let in before a cut is still being heard of: no further one once it gets better.
+            worse = late + bad >= 0.95 * self.strain_heard
+            self.room = LEAST_LET_IN if grave else max(LEAST_LET_IN, self.room * (0.9 if worse else 1.0))
+            self.cutting, self.stormy, self.strain_heard = True, storm, late + bad
+            self.level_at += 2.0 if grave else 0.0
         elif late < 0.7 * LATE_MUCH and load < 0.8:
             # Back fast to what was surely carried, slowly past it: a second storm costs more than the wait.
             self.room, self.cutting = min(1.0, max(self.edge, self.room + REGAIN_PAST)), False
-            self.stormy = False
+            self.stormy, self.strain_heard = False, 0.0
         self.order_levels()
 
     def mean_target(self):
