--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -296,7 +296,8 @@
         if not self.dirty or (self.now < self.stage_at and not self.sunk):
             return
         part = 0.8 if self.sunk else 0.5  # of its messages
-        waiting = [p for p in map(self.proxies.get, sorted(self.dirty)) if p.bound and self.may_write(p, part)]
+        changed = map(self.proxies.get, sorted(self.dirty))
+        waiting = [p for p in changed if p.bound and self.may_write(p, part)]
         self.shuffle(waiting)
         # A cold host's part that must sink is as urgent as a removal.
         some = len(waiting) if self.sunk else ceil(len(self.proxies) / STAGES)
@@ -437,7 +438,8 @@
         # Fading is quick: once little is let in, the many failures of a storm outweigh the few good sums.
         keep = FADE ** self.facts["sums_every"]
         for host in self.hosts.values():
-            host.tries, host.bad, host.answer_time = host.tries * keep, host.bad * keep, host.answer_time * keep
+            host.tries, host.bad = host.tries * keep, host.bad * keep
+            host.answer_time *= keep
 
     def on_req_sums(self, event):
         if self.room >= 1.0:  # later, refused clients that come again would count for more than they ask
@@ -466,25 +468,21 @@
         late = usual_time / self.mean_target()
         strains = usual_load / 0.9, late / (0.75 * LATE_MUCH), 2 * usual_bad / BAD_MUCH
         self.tight = self.room < 1.0 or max(strains) > (0.8 if self.tight else 1.0)
-        failing_probes = sum(h.probe_fails > 0 for h in ready)
-        for host in ready:
-            if host.out_until is not None:
-                continue
+        few_fail = sum(h.probe_fails > 0 for h in ready) <= max(1, len(ready) * 0.35)
+        for host in [h for h in ready if h.usable]:
             # A deep probe times out at a busy host: only one that answers nothing else is lost.
             silent = self.now - host.good_at > 1.3 * self.facts["sums_every"]
-            if host.probe_fails >= (12 if self.cutting else 3) and silent and (
-                    failing_probes <= max(1, len(ready) * 0.35)):
+            if silent and few_fail and host.probe_fails >= (12 if self.cutting else 3):
                 self.drop(host, ready, True)
             elif host in heard:
                 time, part = host.mean_time, host.bad / host.tries
                 failing = host.bad >= 3 and part > max(0.25, 3 * usual_bad + 0.1)
                 # A host that fails and yet has room and answers in time fails by itself; one that is full
                 # refuses as quickly, but dropping it would drown the others.
+                slow = time > max(1.5 * usual_time, 0.6 * self.mean_target())
                 if failing and time <= 1.2 * usual_time and host.load < 0.8:
                     self.drop(host, ready, False)
-                    continue
-                slow = time > max(1.5 * usual_time, 0.6 * self.mean_target())
-                if failing or slow or host.load > max(0.88, usual_load + 0.12):
+                elif failing or slow or host.load > max(0.88, usual_load + 0.12):
                     self.strain(host, ready)
 
     def drop(self, host, ready, by_probe):
@@ -493,9 +491,7 @@
         if (sum(not h.usable for h in ready) + 1 > len(ready) * 0.4
                 or sum(not h.usable for h in zone) + 1 > len(zone) * 0.67):
             return
-        if self.now - host.returned_at > 30:
-            host.strikes = 0
-        host.strikes += 1
+        host.strikes = host.strikes + 1 if self.now - host.returned_at <= 30 else 1
         host.out_by_probe, host.probe_passes = by_probe, 0
         host.out_until = self.now + min(LONGEST_WAIT, QUIET_WAIT * 2 ** (host.strikes - 1))
         why = f"probes {host.probe_fails}" if by_probe else f"sums {host.bad:.1f} of {host.tries:.1f}"
@@ -573,9 +569,7 @@
         gain = [n * k["gain"] for n, k in zip(self.reqs, kinds)]
         worst = self.facts.get("value_of_worst_kind", 0.0)
         cost = [((1 - worst) * g / sum(gain) + worst) * sum(work) / w for g, w in zip(gain, work)]
-        first = min(range(len(kinds)), key=cost.__getitem__)
-        shed = sum(work) * (1 - self.room)
-        levels = [self.room] * len(kinds)
+        first, shed, levels = cost.index(min(cost)), sum(work) * (1 - self.room), [self.room] * len(kinds)
         if cost[first] < 1:
             taken = min(shed, work[first] * (1 - LEAST_OF_ONE))
             rest = max(1e-9, sum(work) - work[first])
@@ -586,9 +580,8 @@
         wanted = [(level, "never" if self.tight else "unstarted") for level in levels]
         if wanted != self.levels:
             self.orders.append(our.LogLine(f"levels {levels}"))
-            for at, (level, retry) in enumerate(wanted):
-                if not self.levels or wanted[at] != self.levels[at]:
-                    self.orders.append(our.Admit(None, (at,), level, retry))
+            self.orders += [our.Admit(None, (at,), *new) for at, new in enumerate(wanted)
+                            if not self.levels or new != self.levels[at]]
             self.levels = wanted
             for proxy in self.joined:
                 self.book(proxy, 1)
--- a/peatlead/wire/codec.py
+++ b/peatlead/wire/codec.py
@@ -99,7 +99,7 @@
     def take_bytes(size):
         nonlocal at
         if at + size > len(body):
-            raise BadInput(f"record {number} at byte {start}: a count of {size} overruns its batch at byte {at}")
+            raise BadInput(f"record {number} at byte {start}: a count of {size} overruns the batch at {at}")
         at += size
         return body[at - size:at]
 
--- a/peatlead/wire/names.py
+++ b/peatlead/wire/names.py
@@ -1,7 +1,7 @@
 """Between the wire's records and the interface's types: names, units, ids. Nothing is decided here."""
 
 from .. import interface as our
-from .codec import MICRO, BadInput
+from .codec import MICRO
 
 SCOPES = {0: "changes", 1: "whole", 2: "remembered", 3: "unavailable"}
 PHASES = {0: "gone", 1: "ready", 2: "draining"}
@@ -28,7 +28,8 @@
     "familyInfo.dataPlaneSize": "proxies", "familyInfo.choice": "pick", "familyInfo.standing": "standing",
     "familyInfo.failsToEject": "fails_to_shun", "familyInfo.tryFactor": "try_targets",
     "familyInfo.usualHow": "usual_retry", "familyInfo.throttleBy": "level_unit",
-    "familyInfo.ranges": "slices", "familyInfo.exclusive": "exclusive", "familyInfo.localFirst": "joins_own_zone",
+    "familyInfo.ranges": "slices", "familyInfo.exclusive": "exclusive",
+    "familyInfo.localFirst": "joins_own_zone",
     "familyInfo.smallestConnTable": "connections_least", "familyInfo.costPerLine": "price_of_lines",
     "familyInfo.movePrice": "price_of_moves", "familyInfo.leaseUs": "lease", "familyInfo.settleUs": "settle",
     "familyInfo.parkUs": "park", "familyInfo.homeOnly": "own_zone_only", "familyInfo.mutating": "writes",
@@ -42,13 +43,15 @@
     "obligations.goneIsAdvice": "gone_is_advice",
     "prices.crossZone": "price_of_crossing", "prices.handshake": "price_of_handshakes",
     "prices.connection": "price_of_connections", "prices.probe": "price_of_probes",
-    "prices.waste": "price_of_waste", "prices.lateFail": "price_of_late_failure", "prices.peer": "price_of_notes",
+    "prices.waste": "price_of_waste", "prices.lateFail": "price_of_late_failure",
+    "prices.peer": "price_of_notes",
     "scoringMix.whole": "value_of_whole", "scoringMix.worstClass": "value_of_worst_kind",
     "scoringMix.worstWindow": "value_of_worst_span",
     "stats.how": "reports_come", "stats.fields": "report_fields",
 }
 OF_KIND = {
-    "name": "name", "targetUs": "response_target", "deadlineUs": "client_timeout", "aimStretch": "target_stretch",
+    "name": "name", "targetUs": "response_target", "deadlineUs": "client_timeout",
+    "aimStretch": "target_stretch",
     "repeat": "repeat", "group": "drops_repeats_in", "windowUs": "repeat_window", "worth": "gain",
     "lateWorth": "late_gain", "onlyZones": "only_zones", "onlyKinds": "only_machines",
 }
@@ -105,35 +108,7 @@
                           since / MICRO)
 
     def event(self, name, rec):
-        if name == "TALLY":
-            return our.HostSums(self.host(rec["host"]), rec["locality"], rec["many"], rec["failed"],
-                                rec["coversUs"] / MICRO, rec["timeTakenUs"] / MICRO, self.report(rec["feedback"]))
-        if name == "INTAKE":
-            return our.ReqSums(rec["px"], rec["category"], rec["many"], rec["failed"], rec["coversUs"] / MICRO)
-        if name == "WAKE":
-            return our.TimerFired(rec["token"])
-        if name == "CHECK_RESULT":
-            return our.ProbeResult(self.host(rec["host"]), OUTCOMES.get(rec["how"], "errored"),
-                                   rec["timeTakenUs"] / MICRO, self.report(rec["feedback"]))
-        if name == "TOPOLOGY":
-            return our.Roster(SCOPES.get(rec["mode"], "unavailable"), rec["version"],
-                              tuple(map(self.member, rec["members"])))
-        if name == "CHECKED_IN":
-            return our.ProxyJoined(rec["px"], rec["locality"], rec["size"], bool(rec["on"]))
-        if name == "LEFT":
-            return our.ProxyLeft(rec["px"])
-        if name == "CAUGHT_UP":
-            return our.Applied(rec["px"], rec["version"], rec["timeTakenUs"] / MICRO)
-        if name == "INBOX":
-            return our.PeerNote(rec["who"], rec["bytes"])
-        if name == "GIVEN":
-            return our.SliceGiven(rec["routeTable"], bool(rec["on"]))
-        if name == "IN_STORE":
-            return our.SliceLine(rec["routeTable"], self.host(rec["host"]), rec["size"])
-        if name == "WEIGHT_SEEN":
-            return our.SliceSums(rec["routeTable"], rec["category"], rec["many"], rec["failed"],
-                                 rec["coversUs"] / MICRO)
-        raise BadInput(f"no event is made of {name}")
+        return FROM_WIRE[name](self, rec)
 
     def order(self, inst, order):
         name, rec = TO_WIRE[type(order)](self, order)
@@ -145,6 +120,32 @@
     return sum(1 << kind for kind in kinds)
 
 
+def seconds(rec, field):
+    return rec[field] / MICRO
+
+
+FROM_WIRE = {
+    "TALLY": lambda door, r: our.HostSums(
+        door.host(r["host"]), r["locality"], r["many"], r["failed"], seconds(r, "coversUs"),
+        seconds(r, "timeTakenUs"), door.report(r["feedback"])),
+    "INTAKE": lambda door, r: our.ReqSums(
+        r["px"], r["category"], r["many"], r["failed"], seconds(r, "coversUs")),
+    "WAKE": lambda door, r: our.TimerFired(r["token"]),
+    "CHECK_RESULT": lambda door, r: our.ProbeResult(
+        door.host(r["host"]), OUTCOMES.get(r["how"], "errored"), seconds(r, "timeTakenUs"),
+        door.report(r["feedback"])),
+    "TOPOLOGY": lambda door, r: our.Roster(
+        SCOPES.get(r["mode"], "unavailable"), r["version"], tuple(map(door.member, r["members"]))),
+    "CHECKED_IN": lambda door, r: our.ProxyJoined(r["px"], r["locality"], r["size"], bool(r["on"])),
+    "LEFT": lambda door, r: our.ProxyLeft(r["px"]),
+    "CAUGHT_UP": lambda door, r: our.Applied(r["px"], r["version"], seconds(r, "timeTakenUs")),
+    "INBOX": lambda door, r: our.PeerNote(r["who"], r["bytes"]),
+    "GIVEN": lambda door, r: our.SliceGiven(r["routeTable"], bool(r["on"])),
+    "IN_STORE": lambda door, r: our.SliceLine(r["routeTable"], door.host(r["host"]), r["size"]),
+    "WEIGHT_SEEN": lambda door, r: our.SliceSums(
+        r["routeTable"], r["category"], r["many"], r["failed"], seconds(r, "coversUs")),
+}
+
 TO_WIRE = {
     our.SetLine: lambda door, o: ("UPSERT", {
         "routeTable": o.table, "host": door.addresses[o.host], "size": o.weight}),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -7,8 +7,8 @@
     "stewards": 1, "proxies": 4, "zone": 0, "zones": ["z0", "z1"], "machines": ["m"], "roster_mode": "pushed",
     "channel_rate": 1000.0, "message_head": 6.0, "queue_most": 2000.0, "messages_most": 0,
     "messages_span": 10.0, "push_delay": 0.3, "push_delay_most": 1.0, "bare_most": 3.0, "sums_every": 1.0,
-    "probing": True, "report_fields": [], "cold_share": 0.2, "warm_after": 15.0, "tip_multiple": 4.0, "tip_span": 2.0,
-    "drain_grace": 2.0, "value_of_whole": 0.5, "value_of_worst_kind": 0.1,
+    "probing": True, "report_fields": [], "cold_share": 0.2, "warm_after": 15.0, "tip_multiple": 4.0,
+    "tip_span": 2.0, "drain_grace": 2.0, "value_of_whole": 0.5, "value_of_worst_kind": 0.1,
     "req_kinds": [
         {"name": "read", "response_target": 0.8, "client_timeout": 2.5, "repeat": "replayable", "gain": 2.0,
          "drops_repeats_in": "all", "repeat_window": 5.0, "late_gain": 0.1, "own_zone": False,
