--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -539,7 +539,9 @@
         bad = middle([h.bad / h.tries for h in heard])
         late = middle([h.mean_time for h in heard]) / self.mean_target()
         load = middle([h.load for h in heard])
-        if bad > BAD_MUCH or late > LATE_MUCH:
+        # Right after a cut to the least, what fails is what was sent before: load reports are newer.
+        over = self.room <= LEAST_LET_IN and load < 0.7
+        if (bad > BAD_MUCH or late > LATE_MUCH) and not over:
             # Full queues hold work whose clients have gone: little is let in until it is done. Two rounds
             # must tell so: sums that a stall held back all come at once and look like a storm.
             storm = bad > 3 * BAD_MUCH or late > 2 * LATE_MUCH
@@ -551,7 +553,7 @@
             self.room = LEAST_LET_IN if grave else max(LEAST_LET_IN, self.room * (0.9 if worse else 1.0))
             self.cutting, self.stormy, self.strain_heard = True, storm, late + bad
             self.level_at += 2.0 if grave else 0.0
-        elif late < 0.7 * LATE_MUCH and load < 0.8:
+        elif over or late < 0.7 * LATE_MUCH and load < 0.8:
             # Back fast to what was surely carried, slowly past it: a second storm costs more than the wait.
             self.room, self.cutting = min(1.0, max(self.edge, self.room + REGAIN_PAST)), False
             self.stormy, self.strain_heard = False, 0.0
