--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -552,7 +552,7 @@
             worse = late + bad >= 0.95 * self.strain_heard
             self.room = LEAST_LET_IN if grave else max(LEAST_LET_IN, self.room * (0.9 if worse else 1.0))
             self.cutting, self.stormy, self.strain_heard = True, storm, late + bad
-            self.level_at += 2.0 if grave else 0.0
+            self.level_at += 1.0 if grave else 0.0
         elif over or late < 0.7 * LATE_MUCH and load < 0.8:
             # Back fast to what was surely carried, slowly past it: a second storm costs more than the wait.
             self.room, self.cutting = min(1.0, max(self.edge, self.room + REGAIN_PAST)), False
