--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -470,7 +470,7 @@
         usual_time, usual_load = middle([h.mean_time for h in heard]), middle([h.load for h in heard])
         late = usual_time / self.mean_target()
         strains = usual_load / 0.95, late / LATE_MUCH, usual_bad / BAD_MUCH
-        self.tight = self.room < 1.0 or max(strains) > (0.8 if self.tight else 1.0)
+        self.tight = max(strains) > (0.8 if self.tight else 1.0)
         few_fail = sum(h.probe_fails > 0 for h in ready) <= max(1, len(ready) * 0.35)
         for host in [h for h in ready if h.usable]:
             # A deep probe times out at a busy host: only one that answers nothing else is lost.
