--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -26,11 +26,9 @@
 COVERAGE = 25.0  # shards of this steward's proxies that each host should sit in
 LEAST_A_ZONE = 1
 FIRST_SHARE = 0.25  # part of its weight that a new or returning host starts with
-RAMP = 10.0  # seconds from there to the full weight
-STEP = 0.25  # in steps of this part of it
+RAMP, STEP = 10.0, 0.25  # seconds from there to the full weight, in steps of this part of it
 GROW_WAIT = RAMP * STEP / (1 - FIRST_SHARE)
-STRAIN_GAP = 5.0  # until the relief of the last step has been heard
-FIRST_REGAIN = 10.0  # how long a slow host does without the shards it left, doubled when it is slow again
+STRAIN_GAP, FIRST_REGAIN = 5.0, 10.0  # until relief is heard; a slow host's first wait, doubled each time
 QUIET_WAIT, LONGEST_WAIT = 10.0, 60.0  # a dropped member's first wait, doubled each time that it fails again
 ROOMY = 0.6  # part of its cores that a zone may use although others use less
 PLAN_EVERY, PLAN_SLACK = 2.0, 0.15  # seconds; the part of a zone's plan that must change to move a size
@@ -43,7 +41,7 @@
 LATE_MUCH = 0.42  # or its answers take this part of the response target
 EDGE, REGAIN_PAST = 0.85, 0.02  # of the level where a storm began, surely carried; past it, a round
 LEAST_LET_IN, LEAST_OF_ONE = 0.3, 0.05  # of all kinds, of one
-COLD_PART = 0.3  # of the load that pushes a cold host over, what is planned for it
+COLD_PART, COLD_MOST = 0.25, 0.25  # of what tips a cold host, its plan; of a table, all cold ones' part
 COLD_STEPS = (0.06, 0.12, 0.18, 0.25, 0.37, 0.5, 0.75, 1.0)
 
 
@@ -238,15 +236,20 @@
         eased = [h for h in members if proxy.number not in h.spared]
         if len(eased) * 2 >= len(members):
             members = eased
-        if not any(h.cold_from is None for h in members):
-            # Cold hosts alone, however small their weights, would get all that the proxy has.
+        if self.chilly(members):
             warm = {z: [h for h in hosts if h.usable and h.cold_from is None] for z, hosts in zones.items()}
-            members = members + (warm.get(proxy.zone) or max(warm.values(), key=len, default=[]))
+            own = [h for h in warm.get(proxy.zone, []) if h not in members]
+            members = members + (own or max(warm.values(), key=len, default=[]))
         if not members:
             # No doubt may leave a proxy without a line while the list shows hosts that run.
             members = [h for hosts in zones.values() for h in hosts]
         return {h.id: h.weight * h.share for h in members if h.share} or {h.id: h.weight for h in members}
 
+    def chilly(self, members):
+        """Cold hosts with most of a table, however small their weights, would get most that the proxy has."""
+        cold = sum(h.weight * h.share for h in members if h.cold_from is not None)
+        return COLD_MOST * sum(h.weight * h.share for h in members) <= cold
+
     def write_table(self, proxy):
         for group in range(len(self.group_open)):
             goal, lines = self.table(proxy, group), proxy.lines[group]
@@ -280,8 +283,7 @@
         for proxy in self.joined:
             for group, lines in enumerate(proxy.lines if proxy.bound else ()):
                 lost = [h for h in lines if not self.hosts[h].usable]
-                # Where only cold hosts would be left, they would get all that the proxy has at once.
-                if lost and not any(self.hosts[h].usable and self.hosts[h].cold_from is None for h in lines):
+                if lost and self.chilly([self.hosts[h] for h in lines if self.hosts[h].usable]):
                     self.write_table(proxy)
                     continue
                 for host in lost:
