--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -41,7 +41,7 @@
 LATE_MUCH = 0.42  # or its answers take this part of the response target
 EDGE, REGAIN_PAST = 0.85, 0.02  # of the level where a storm began, surely carried; past it, a round
 LEAST_LET_IN, LEAST_OF_ONE = 0.3, 0.05  # of all kinds, of one
-COLD_PART, COLD_MOST = 0.25, 0.25  # of what tips a cold host, its plan; of a table, all cold ones' part
+COLD_PART, COLD_MOST = 0.2, 0.2  # of what tips a cold host, its plan; of a table, all cold ones' part
 COLD_STEPS = (0.06, 0.12, 0.18, 0.25, 0.37, 0.5, 0.75, 1.0)
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -79,7 +79,7 @@
         made = planner()
         host = made.hosts[0]
         made.now, host.cold_from, host.step = 100.0, 100.0, 1.0
-        self.assertLessEqual(made.cold_share(host), 0.3 * 4.0 * 0.2)
+        self.assertLessEqual(made.cold_share(host), 0.2 * 4.0 * 0.2 + 1e-9)
         made.facts["fails_to_shun"], made.tight = 3, True
         self.assertEqual(made.cold_share(host), 0.0)
 
