--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -66,6 +66,14 @@
             host.cold_from = 100.0 if host.id else None
         self.assertIn(0, made.table(proxy, 0))
 
+    def test_a_table_is_chilly_once_its_cold_hosts_hold_a_fifth(self):
+        made = planner()
+        hosts = list(made.hosts.values())
+        hosts[0].cold_from = 100.0
+        hosts[0].share = 0.37
+        self.assertTrue(made.chilly(hosts[:2]))
+        self.assertFalse(made.chilly(hosts[:4]))
+
     def test_a_removal_that_leaves_only_cold_hosts_writes_the_table_anew(self):
         made = planner()
         proxy = made.proxies[0]
