--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -161,8 +161,7 @@
         """By group and zone of proxies, the part of their reqs that each zone should take: every zone's hosts
         alike full, or unlike while all have room, kinds with fewest open hosts first, and no req crosses that
         need not. A steward spreads what its own proxies bring: if each does so evenly, all together do."""
-        work = [n * k["response_target"] for n, k in zip(self.reqs, self.facts["req_kinds"])]
-        brought = {}
+        work, brought = self.work_of_kinds(), {}
         for proxy in self.joined:
             brought[proxy.zone] = brought.get(proxy.zone, 0.0) + max(0.1, proxy.rate)
         load, plan, rooms = {}, {}, []
@@ -246,7 +245,7 @@
         return {h.id: h.weight * h.share for h in members if h.share} or {h.id: h.weight for h in members}
 
     def chilly(self, members):
-        """Cold hosts with most of a table, however small their weights, would get most that the proxy has."""
+        """Cold hosts with much of a table, however small their weights, would get much that the proxy has."""
         cold = sum(h.weight * h.share for h in members if h.cold_from is not None)
         return COLD_MOST * sum(h.weight * h.share for h in members) <= cold
 
@@ -470,8 +469,8 @@
         heard = [h for h in ready if h.usable and h.tries >= 2]
         usual_bad = middle([h.bad / h.tries for h in heard])
         usual_time, usual_load = middle([h.mean_time for h in heard]), middle([h.load for h in heard])
-        late = usual_time / self.mean_target()
-        strains = usual_load / 0.95, late / LATE_MUCH, usual_bad / BAD_MUCH
+        target = self.mean_target()
+        strains = usual_load / 0.95, usual_time / target / LATE_MUCH, usual_bad / BAD_MUCH
         self.tight = max(strains) > (0.8 if self.tight else 1.0)
         few_fail = sum(h.probe_fails > 0 for h in ready) <= max(1, len(ready) * 0.35)
         for host in [h for h in ready if h.usable]:
@@ -484,7 +483,7 @@
                 failing = host.bad >= 3 and part > max(0.25, 3 * usual_bad + 0.1)
                 # A host that fails and yet has room and answers in time fails by itself; one that is full
                 # refuses as quickly, but dropping it would drown the others.
-                slow = time > max(1.5 * usual_time, 0.6 * self.mean_target())
+                slow = time > max(1.5 * usual_time, 0.6 * target)
                 if failing and time <= 1.2 * usual_time and host.load < 0.8:
                     self.drop(host, ready, False)
                 elif failing or slow or host.load > max(0.88, usual_load + 0.12):
@@ -564,15 +563,16 @@
             self.stormy, self.strain_heard = False, 0.0
         self.order_levels()
 
+    def work_of_kinds(self):
+        """What a kind's reqs cost is not told: its response target stands in for its work."""
+        return [n * k["response_target"] for n, k in zip(self.reqs, self.facts["req_kinds"])]
+
     def mean_target(self):
-        kinds = self.facts["req_kinds"]
-        return sum(n * k["response_target"] for n, k in zip(self.reqs, kinds)) / sum(self.reqs)
+        return sum(self.work_of_kinds()) / sum(self.reqs)
 
     def order_levels(self):
-        """What a kind's reqs cost is not told: its response target stands in for its work. The kind that
-        loses least for the work saved goes first, if that beats refusing all kinds alike."""
-        kinds = self.facts["req_kinds"]
-        work = [n * k["response_target"] for n, k in zip(self.reqs, kinds)]
+        """The kind that loses least for the work saved goes first, if that beats refusing all alike."""
+        kinds, work = self.facts["req_kinds"], self.work_of_kinds()
         gain = [n * k["gain"] for n, k in zip(self.reqs, kinds)]
         worst = self.facts.get("value_of_worst_kind", 0.0)
         cost = [((1 - worst) * g / sum(gain) + worst) * sum(work) / w for g, w in zip(gain, work)]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -59,7 +59,6 @@
         for host in made.hosts.values():
             if host.zone == proxy.zone:
                 host.cold_from, host.share = 100.0, 0.06
-        made.facts["req_kinds"][0]["only_zones"] = []
         lines = made.table(proxy, 0)
         self.assertTrue(any(made.hosts[h].cold_from is None for h in lines))
         for host in made.hosts.values():
