--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -268,15 +268,23 @@
             self.book(proxy, 1)
 
     def bind_waiting(self):
-        for proxy in self.joined:
-            if proxy.bound or not self.hosts or self.now < proxy.hold_until and self.rounds < ROUNDS_HEARD:
-                continue
+        """Whole tables wait for room: all proxies at once would pass what may wait in the channel. First come
+        those whose standing tables, drawn in their zone, may lack a line for some kind."""
+        waiting = [p for p in self.joined if not p.bound and self.hosts and (
+            self.now >= p.hold_until or self.rounds >= ROUNDS_HEARD)]
+        for proxy in sorted(waiting, key=lambda p: (not self.may_lack(p), p.hold_until)):
+            self.drain_queue()
+            if self.queue > 0.4 * self.facts["queue_most"]:
+                return
             self.write_table(proxy)
             proxy.bound = True
             for group, (_, kinds) in enumerate(self.group_open):
                 self.orders.append(our.BindTable(proxy.number, proxy.first_table + group, tuple(kinds)))
                 self.book(proxy, 1 + len(proxy.lines[group]) + len(self.facts["req_kinds"]))
 
+    def may_lack(self, proxy):
+        return any(proxy.zone not in self.open_hosts(group, proxy.zone) for group in range(len(self.group_open)))
+
     def remove_lost(self):
         """Hosts that drain, went or were dropped leave every table at once: their reqs are lost reqs."""
         for proxy in self.joined:
