--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -39,7 +39,7 @@
 ROUNDS_HEARD = 3
 BAD_MUCH = 0.1  # part of its tries that fails at the middle host of a fleet without room
 LATE_MUCH = 0.42  # or its answers take this part of the response target
-EDGE, REGAIN_PAST = 0.85, 0.02  # of the level where a storm began, surely carried; past it, a round
+EDGE, FULL, MOST_REGAIN = 0.85, 0.85, 0.15  # of the level where a storm began, surely carried; aimed; a round
 LEAST_LET_IN, LEAST_OF_ONE = 0.3, 0.05  # of all kinds, of one
 COLD_PART, COLD_MOST = 0.2, 0.2  # of what tips a cold host, its plan; of a table, all cold ones' part
 COLD_STEPS = (0.06, 0.12, 0.18, 0.25, 0.37, 0.5, 0.75, 1.0)
@@ -439,8 +439,12 @@
         if event.tries > event.bad:
             host.good_at = self.now
         host.answer_time += event.mean_time * (event.tries - event.bad)
-        if event.report:
-            load = min(1.0, event.report.get("util", event.report.get("waiting", 0.0)))
+        self.take_report(host, event.report)
+
+    @staticmethod
+    def take_report(host, report):
+        if report:
+            load = min(1.0, report.get("util", report.get("waiting", 0.0)))
             host.load += (load - host.load) / 3
 
     def end_round(self):
@@ -466,6 +470,7 @@
         host = self.hosts.get(event.host)
         if host is None or event.outcome == "denied":
             return
+        self.take_report(host, event.report)
         passed = event.outcome == "ok"
         host.probe_passes = host.probe_passes + 1 if passed else 0
         host.probe_fails = 0 if passed else host.probe_fails + 1
@@ -479,7 +484,7 @@
         usual_time, usual_load = middle([h.mean_time for h in heard]), middle([h.load for h in heard])
         target = self.mean_target()
         strains = usual_load / 0.95, usual_time / target / LATE_MUCH, usual_bad / BAD_MUCH
-        self.tight = max(strains) > (0.8 if self.tight else 1.0)
+        self.tight = max(strains) > (0.8 if self.tight else 1.0) and usual_load > 0.7
         few_fail = sum(h.probe_fails > 0 for h in ready) <= max(1, len(ready) * 0.35)
         for host in [h for h in ready if h.usable]:
             # A deep probe times out at a busy host: only one that answers nothing else is lost.
@@ -548,11 +553,13 @@
         if len(heard) < 3 or not all(self.may_write(p, 0.7) for p in self.joined):
             return
         self.level_at = self.now + 0.8
-        bad = middle([h.bad / h.tries for h in heard])
-        late = middle([h.mean_time for h in heard]) / self.mean_target()
-        load = middle([h.load for h in heard])
-        # Right after a cut to the least, what fails is what was sent before: load reports are newer.
-        over = self.room <= LEAST_LET_IN and load < 0.7
+        bad = self.middle_try(heard, lambda h: h.bad / h.tries)
+        late = self.middle_try(heard, lambda h: h.mean_time) / self.mean_target()
+        load = self.middle_try(heard, lambda h: h.load)
+        self.orders.append(our.LogLine(f"dbg bad {bad:.2f} late {late:.2f} load {load:.2f} loads {[round(h.load,1) for h in heard][::3]} room {self.room:.2f} reqs {sum(p.rate for p in self.joined):.0f}"))
+        # What fails or is late while hosts have room is no want of room: a way, answers that get lost, callers
+        # in a hurry; or, right after a cut, what was sent before it. Load reports are newer.
+        over = load < 0.6
         if (bad > BAD_MUCH or late > LATE_MUCH) and not over:
             # Full queues hold work whose clients have gone: little is let in until it is done. Two rounds
             # must tell so: sums that a stall held back all come at once and look like a storm.
@@ -565,12 +572,24 @@
             self.room = LEAST_LET_IN if grave else max(LEAST_LET_IN, self.room * (0.9 if worse else 1.0))
             self.cutting, self.stormy, self.strain_heard = True, storm, late + bad
             self.level_at += 1.0 if grave else 0.0
-        elif over or late < 0.7 * LATE_MUCH and load < 0.8:
-            # Back fast to what was surely carried, slowly past it: a second storm costs more than the wait.
-            self.room, self.cutting = min(1.0, max(self.edge, self.room + REGAIN_PAST)), False
+        elif (more := min(FULL / max(0.1, load), LATE_MUCH / max(0.1, late))) > 1:
+            # Back fast to what was surely carried, past it as far as reports tell that there is room, and a
+            # third of that a round, since they lag: a second storm costs more than the wait.
+            more = 1 + min(MOST_REGAIN, (more - 1) / 3)
+            self.room, self.cutting = min(1.0, max(self.edge, self.room * more)), False
             self.stormy, self.strain_heard = False, 0.0
         self.order_levels()
 
+    @staticmethod
+    def middle_try(hosts, value):
+        """What the middle try met: cold hosts that are given little say nothing of the room that is left."""
+        half, found = sum(h.tries for h in hosts) / 2, 0.0
+        for host in sorted(hosts, key=value):
+            found, half = value(host), half - host.tries
+            if half <= 0:
+                break
+        return found
+
     def work_of_kinds(self):
         """What a kind's reqs cost is not told: its response target stands in for its work."""
         return [n * k["response_target"] for n, k in zip(self.reqs, self.facts["req_kinds"])]
