--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -39,7 +39,8 @@
 ROUNDS_HEARD = 3
 BAD_MUCH = 0.1  # part of its tries that fails at the middle host of a fleet without room
 LATE_MUCH = 0.42  # or its answers take this part of the response target
-EDGE, FULL, MOST_REGAIN = 0.85, 0.85, 0.15  # of the level where a storm began, surely carried; aimed; a round
+EDGE, REGAIN_PAST = 0.85, 0.02  # of the level where a storm began, surely carried; past it, a round
+FULL, MOST_CUT = 0.85, 0.7  # part of its cores that the middle host may use; what a cut leaves at least
 LEAST_LET_IN, LEAST_OF_ONE = 0.3, 0.05  # of all kinds, of one
 COLD_PART, COLD_MOST = 0.2, 0.2  # of what tips a cold host, its plan; of a table, all cold ones' part
 COLD_STEPS = (0.06, 0.12, 0.18, 0.25, 0.37, 0.5, 0.75, 1.0)
@@ -569,14 +570,16 @@
                 self.edge = EDGE * (self.edge if self.cutting else self.room)
             # What was let in before a cut is still being heard of: no further one once it gets better.
             worse = late + bad >= 0.95 * self.strain_heard
-            self.room = LEAST_LET_IN if grave else max(LEAST_LET_IN, self.room * (0.9 if worse else 1.0))
+            cut = max(MOST_CUT, min(0.9, LATE_MUCH / max(LATE_MUCH, late)))
+            self.room = LEAST_LET_IN if grave else max(LEAST_LET_IN, self.room * (cut if worse else 1.0))
             self.cutting, self.stormy, self.strain_heard = True, storm, late + bad
             self.level_at += 1.0 if grave else 0.0
-        elif (more := min(FULL / max(0.1, load), LATE_MUCH / max(0.1, late))) > 1:
-            # Back fast to what was surely carried, past it as far as reports tell that there is room, and a
-            # third of that a round, since they lag: a second storm costs more than the wait.
-            more = 1 + min(MOST_REGAIN, (more - 1) / 3)
-            self.room, self.cutting = min(1.0, max(self.edge, self.room * more)), False
+        elif over and self.room <= LEAST_LET_IN or late < 0.7 * LATE_MUCH and load < FULL:
+            # Back fast to what was surely carried; past it slowly, or a third of the way that load reports
+            # tell, since they lag: a second storm costs more than the wait.
+            told = self.room * FULL / max(0.4, load) if "util" in self.facts["report_fields"] else 0.0
+            past = max(REGAIN_PAST, (told - self.room) / 3)
+            self.room, self.cutting = min(1.0, max(self.edge, self.room + past)), False
             self.stormy, self.strain_heard = False, 0.0
         self.order_levels()
 
