--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -29,6 +29,7 @@
 RAMP, STEP = 10.0, 0.25  # seconds from there to the full weight, in steps of this part of it
 GROW_WAIT = RAMP * STEP / (1 - FIRST_SHARE)
 STRAIN_GAP, FIRST_REGAIN = 5.0, 10.0  # until relief is heard; a slow host's first wait, doubled each time
+FAR_MUCH = 0.3  # of the response target: later than at home, on the whole of a way
 QUIET_WAIT, LONGEST_WAIT = 10.0, 60.0  # a dropped member's first wait, doubled each time that it fails again
 ROOMY = 0.6  # part of its cores that a zone may use although others use less
 PLAN_EVERY, PLAN_SLACK = 2.0, 0.15  # seconds; the part of a zone's plan that must change to move a size
@@ -69,7 +70,8 @@
         self.clear_evidence(now)
 
     def clear_evidence(self, now):
-        self.tries = self.bad = self.answer_time = 0.0  # sums that fade: tries, bad ones, seconds of the good
+        self.sums = {}  # by zone of the proxies: when heard, and fading: tries, bad ones, seconds of the good
+        self.tries = self.bad = self.answer_time = 0.0  # of all zones but those with a bad way to it
         self.load = 0.0  # fading load report: part of its cores in use, or 1 with reqs waiting
         self.good_at = now
 
@@ -110,6 +112,8 @@
         self.cutting = self.stormy = self.tight = False
         self.dirty, self.sunk = set(), False
         self.plan, self.plan_at = {}, 0.0
+        self.cycle = settings.get("sums_every", 1.0)  # seconds between two sums of one host, about
+        self.ways, self.far = {}, set()  # (zone of proxies, of hosts): until when bad and the wait; those now
         self.handlers = {
             our.Roster: self.on_roster, our.ProxyJoined: self.on_joined, our.ProxyLeft: self.on_left,
             our.HostSums: self.on_host_sums, our.ProbeResult: self.on_probe, our.TimerFired: self.on_timer,
@@ -152,7 +156,8 @@
             if (host.phase == "ready" and (not zones or host.zone in zones)
                     and (not machines or host.machine in machines) and (not own_zone or host.zone == zone)):
                 found.setdefault(host.zone, []).append(host)
-        return found
+        near = {z: hosts for z, hosts in found.items() if (zone, z) not in self.far}
+        return near or found
 
     @staticmethod
     def rank(proxy, host):
@@ -222,11 +227,11 @@
         holders = max(1.0, self.facts["proxies"] / max(1, self.facts["stewards"]))
         parts = self.plan.get((group, proxy.zone), {})
         fullest = max(parts.values(), default=0.0)
-        shard = {}
+        shard, bad = {}, sum(way[0] == proxy.zone for way in self.far)
         for zone, members in zones.items():
             part = parts.get(zone, 0.0) / fullest if fullest else 1.0
             size = min(round(part * len(members)), ceil(COVERAGE * len(members) / holders))
-            shard[zone] = members[:max(LEAST_A_ZONE, size)]
+            shard[zone] = members[:max(LEAST_A_ZONE, size * (1 + bad * (zone == proxy.zone)))]
         return shard, zones
 
     def table(self, proxy, group):
@@ -435,11 +440,14 @@
             self.round_at, self.round_open = self.now, True
         if host is None:
             return
-        host.tries += event.tries
-        host.bad += event.bad
-        if event.tries > event.bad:
+        # Where lines are capped each covers many rounds and comes seldom: what was heard stands as long.
+        self.cycle += (max(event.span, self.facts["sums_every"]) - self.cycle) / 8
+        good = event.tries - event.bad
+        if good:
             host.good_at = self.now
-        host.answer_time += event.mean_time * (event.tries - event.bad)
+        old, news = host.sums.get(event.zone, (self.now, 0, 0, 0)), (event.tries, event.bad, event.mean_time * good)
+        keep = FADE ** ((self.now - old[0]) / self.cycle)
+        host.sums[event.zone] = self.now, *(o * keep + n for o, n in zip(old[1:], news))
         self.take_report(host, event.report)
 
     @staticmethod
@@ -450,13 +458,36 @@
 
     def end_round(self):
         self.rounds, self.round_open = self.rounds + 1, False
-        self.judge()
-        self.watch_room()
+        self.watch_ways()
         # Fading is quick: once little is let in, the many failures of a storm outweigh the few good sums.
-        keep = FADE ** self.facts["sums_every"]
         for host in self.hosts.values():
-            host.tries, host.bad = host.tries * keep, host.bad * keep
-            host.answer_time *= keep
+            kept = [(FADE ** ((self.now - at) / self.cycle), *sums) for zone, (at, *sums) in host.sums.items()
+                    if (zone, host.zone) not in self.far]
+            host.tries, host.bad, host.answer_time = (sum(k[0] * k[at] for k in kept) for at in (1, 2, 3))
+        self.judge()
+        self.watch_room()
+
+    def watch_ways(self):
+        """A way on which even the quicker hosts of a zone answer far later than those at home is bad itself:
+        its proxies do without that zone for a while, and home takes its part."""
+        near = self.far
+        for zone in {p.zone: 0 for p in self.joined}:
+            times = {}
+            for host in self.hosts.values():
+                at, tries, bad, seconds = host.sums.get(zone, (-1e9, 0, 0, 0))
+                if host.usable and self.now - at < 2 * self.cycle and tries - bad > 0.5:
+                    times.setdefault(host.zone, []).append(seconds / (tries - bad))
+            usual = middle(times.get(zone, ()))
+            for other, found in times.items():
+                until, wait = self.ways.get((zone, other), (-1e9, 0.0))
+                if (usual and other != zone and self.now >= until and len(found) > 1
+                        and sorted(found)[len(found) // 4] - usual > FAR_MUCH * self.mean_target()):
+                    wait = min(LONGEST_WAIT, 2 * wait) if self.now - until < 30 else QUIET_WAIT
+                    self.ways[zone, other] = self.now + wait, wait
+                    self.orders.append(our.LogLine(f"way from zone {zone} to {other} is bad, {wait} s"))
+        self.far = {way for way, (until, _) in self.ways.items() if self.now < until}
+        if self.far != near:
+            self.all_dirty()
 
     def on_req_sums(self, event):
         if self.room >= 1.0:  # later, refused clients that come again would count for more than they ask
@@ -557,7 +588,6 @@
         bad = self.middle_try(heard, lambda h: h.bad / h.tries)
         late = self.middle_try(heard, lambda h: h.mean_time) / self.mean_target()
         load = self.middle_try(heard, lambda h: h.load)
-        self.orders.append(our.LogLine(f"dbg bad {bad:.2f} late {late:.2f} load {load:.2f} loads {[round(h.load,1) for h in heard][::3]} room {self.room:.2f} reqs {sum(p.rate for p in self.joined):.0f}"))
         # What fails or is late while hosts have room is no want of room: a way, answers that get lost, callers
         # in a hurry; or, right after a cut, what was sent before it. Load reports are newer.
         over = load < 0.6
