--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -37,7 +37,7 @@
 TICK, ROUND_WAIT = 0.1, 0.2  # seconds; until all the sums of a round are in
 FADE = 0.25  # what a second leaves of the sums heard
 PROBE_EVERY, PROBE_AGAIN = 1.0, 0.3  # seconds; after a failure sooner
-ROUNDS_HEARD = 3
+ROUNDS_HEARD, SUMS_LATE = 3, 1.0  # until a steward that starts acts; seconds that sums are late, about
 BAD_MUCH = 0.1  # part of its tries that fails at the middle host of a fleet without room
 LATE_MUCH = 0.42  # or its answers take this part of the response target
 EDGE, REGAIN_PAST = 0.85, 0.02  # of the level where a storm began, surely carried; past it, a round
@@ -438,7 +438,8 @@
         host = self.hosts.get(event.host)
         if self.now - self.round_at > self.facts["sums_every"] / 2:
             self.round_at, self.round_open = self.now, True
-        if host is None:
+        # Sums from before a start tell of the process that was there before.
+        if host is None or host.cold_from is not None and self.now - event.span - SUMS_LATE < host.cold_from:
             return
         # Where lines are capped each covers many rounds and comes seldom: what was heard stands as long.
         self.cycle += (max(event.span, self.facts["sums_every"]) - self.cycle) / 8
@@ -590,7 +591,8 @@
         load = self.middle_try(heard, lambda h: h.load)
         # What fails or is late while hosts have room is no want of room: a way, answers that get lost, callers
         # in a hurry; or, right after a cut, what was sent before it. Load reports are newer.
-        over = load < 0.6
+        told = "util" in self.facts["report_fields"]
+        over = load < 0.6 and (told or self.room <= LEAST_LET_IN)
         if (bad > BAD_MUCH or late > LATE_MUCH) and not over:
             # Full queues hold work whose clients have gone: little is let in until it is done. Two rounds
             # must tell so: sums that a stall held back all come at once and look like a storm.
@@ -605,10 +607,9 @@
             self.cutting, self.stormy, self.strain_heard = True, storm, late + bad
             self.level_at += 1.0 if grave else 0.0
         elif over and self.room <= LEAST_LET_IN or late < 0.7 * LATE_MUCH and load < FULL:
-            # Back fast to what was surely carried; past it slowly, or a third of the way that load reports
+            # Back fast to what was surely carried; past it slowly, or a third of the way that reports
             # tell, since they lag: a second storm costs more than the wait.
-            told = self.room * FULL / max(0.4, load) if "util" in self.facts["report_fields"] else 0.0
-            past = max(REGAIN_PAST, (told - self.room) / 3)
+            past = max(REGAIN_PAST, self.room * (FULL / max(0.4, load) - 1) / 3 if told else 0.0)
             self.room, self.cutting = min(1.0, max(self.edge, self.room + past)), False
             self.stormy, self.strain_heard = False, 0.0
         self.order_levels()
