--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -18,7 +18,7 @@
 
 from collections import deque
 from hashlib import blake2b
-from math import ceil
+from math import ceil, log
 from random import Random
 
 from . import interface as our
@@ -112,6 +112,7 @@
         self.cutting = self.stormy = self.tight = False
         self.dirty, self.sunk = set(), False
         self.plan, self.plan_at = {}, 0.0
+        self.probes_fail = 0.0  # part of the probes of usable hosts, lately
         self.cycle = settings.get("sums_every", 1.0)  # seconds between two sums of one host, about
         self.ways, self.far = {}, set()  # (zone of proxies, of hosts): until when bad and the wait; those now
         self.handlers = {
@@ -392,7 +393,7 @@
                 host.spared.add(proxy.number)
                 spare -= proxy.rate
         self.all_dirty()
-        self.orders.append(our.LogLine(f"host {host.id} reach {reach}, without {sorted(host.spared)}"))
+        self.orders.append(our.LogLine(f"host {host.id} reach {reach}"))
 
     def cold_share(self, host):
         """A part of what pushes it over by now; none in a tight fleet where proxies shun hosts that fail
@@ -505,6 +506,8 @@
             return
         self.take_report(host, event.report)
         passed = event.outcome == "ok"
+        if host.usable:
+            self.probes_fail += ((not passed) - self.probes_fail) / (3 * len(self.hosts))
         host.probe_passes = host.probe_passes + 1 if passed else 0
         host.probe_fails = 0 if passed else host.probe_fails + 1
         if not passed:
@@ -518,11 +521,12 @@
         target = self.mean_target()
         strains = usual_load / 0.95, usual_time / target / LATE_MUCH, usual_bad / BAD_MUCH
         self.tight = max(strains) > (0.8 if self.tight else 1.0) and usual_load > 0.7
-        few_fail = sum(h.probe_fails > 0 for h in ready) <= max(1, len(ready) * 0.35)
+        # A deep probe times out at a busy host: so many in a row must fail that no chance would do it to one
+        # whose probes fail as often as its peers'.
+        fails = max(3.0, log(0.001) / log(min(0.8, max(0.01, self.probes_fail))))
         for host in [h for h in ready if h.usable]:
-            # A deep probe times out at a busy host: only one that answers nothing else is lost.
             silent = self.now - host.good_at > 1.3 * self.facts["sums_every"]
-            if silent and few_fail and host.probe_fails >= (12 if self.cutting else 3):
+            if silent and host.probe_fails >= fails:
                 self.drop(host, ready, True)
             elif host in heard:
                 time, part = host.mean_time, host.bad / host.tries
@@ -589,6 +593,7 @@
         bad = self.middle_try(heard, lambda h: h.bad / h.tries)
         late = self.middle_try(heard, lambda h: h.mean_time) / self.mean_target()
         load = self.middle_try(heard, lambda h: h.load)
+        self.orders.append(our.LogLine(f"dbg n {len(heard)} cold {sum(h.cold_from is not None for h in heard)} bad {bad:.2f} late {late:.2f} load {load:.2f} room {self.room:.2f} q {self.queue:.0f} dirty {len(self.dirty)} out {sum(h.out_until is not None for h in self.hosts.values())} reach {sum(1-h.reach for h in self.hosts.values()):.1f}"))
         # What fails or is late while hosts have room is no want of room: a way, answers that get lost, callers
         # in a hurry; or, right after a cut, what was sent before it. Load reports are newer.
         told = "util" in self.facts["report_fields"]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -136,7 +136,7 @@
 
 
     def test_failures_at_hosts_with_room_cut_nothing(self):
-        made = planner()
+        made = planner(report_fields=["util"])
         for host in made.hosts.values():
             host.tries, host.bad, host.answer_time, host.load = 10.0, 6.0, 9.0, 0.3
         made.watch_room()
