--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -66,7 +66,7 @@
         self.regain_at, self.regain_wait, self.strained_at = None, FIRST_REGAIN, -1e9
         self.withdrawn = False
         self.strikes, self.out_until, self.out_by_probe, self.returned_at = 0, None, False, -1e9
-        self.probe_at, self.probe_fails, self.probe_passes = 0.0, 0, 0
+        self.probe_at, self.probe_fails, self.probe_passes, self.probes_bad = 0.0, 0, 0, 0.0
         self.clear_evidence(now)
 
     def clear_evidence(self, now):
@@ -112,7 +112,6 @@
         self.cutting = self.stormy = self.tight = False
         self.dirty, self.sunk = set(), False
         self.plan, self.plan_at = {}, 0.0
-        self.probes_fail = 0.0  # part of the probes of usable hosts, lately
         self.cycle = settings.get("sums_every", 1.0)  # seconds between two sums of one host, about
         self.ways, self.far = {}, set()  # (zone of proxies, of hosts): until when bad and the wait; those now
         self.handlers = {
@@ -487,6 +486,11 @@
                     wait = min(LONGEST_WAIT, 2 * wait) if self.now - until < 30 else QUIET_WAIT
                     self.ways[zone, other] = self.now + wait, wait
                     self.orders.append(our.LogLine(f"way from zone {zone} to {other} is bad, {wait} s"))
+        # Probes go from the steward's own zone: while they fail there is no need to try reqs again.
+        for way, (until, wait) in self.ways.items():
+            lost = middle([h.probes_bad for h in self.hosts.values() if h.zone == way[1] and h.phase == "ready"])
+            if way in self.far and way[0] == self.facts["zone"] and lost > 0.5:
+                self.ways[way] = max(until, self.now + 2 * self.cycle), wait
         self.far = {way for way, (until, _) in self.ways.items() if self.now < until}
         if self.far != near:
             self.all_dirty()
@@ -506,8 +510,7 @@
             return
         self.take_report(host, event.report)
         passed = event.outcome == "ok"
-        if host.usable:
-            self.probes_fail += ((not passed) - self.probes_fail) / (3 * len(self.hosts))
+        host.probes_bad += ((not passed) - host.probes_bad) / 4
         host.probe_passes = host.probe_passes + 1 if passed else 0
         host.probe_fails = 0 if passed else host.probe_fails + 1
         if not passed:
@@ -522,10 +525,12 @@
         strains = usual_load / 0.95, usual_time / target / LATE_MUCH, usual_bad / BAD_MUCH
         self.tight = max(strains) > (0.8 if self.tight else 1.0) and usual_load > 0.7
         # A deep probe times out at a busy host: so many in a row must fail that no chance would do it to one
-        # whose probes fail as often as its peers'.
-        fails = max(3.0, log(0.001) / log(min(0.8, max(0.01, self.probes_fail))))
+        # whose probes fail as often as the middle one's.
+        chance = middle([h.probes_bad for h in ready])
+        fails = max(3.0, log(0.001) / log(min(0.8, max(0.01, chance))))
         for host in [h for h in ready if h.usable]:
-            silent = self.now - host.good_at > 1.3 * self.facts["sums_every"]
+            tried_from = self.ways.get((self.facts["zone"], host.zone), (-1e9,))[0]
+            silent = self.now - max(host.good_at, tried_from) > 1.3 * self.cycle
             if silent and host.probe_fails >= fails:
                 self.drop(host, ready, True)
             elif host in heard:
@@ -536,7 +541,7 @@
                 slow = time > max(1.5 * usual_time, 0.6 * target)
                 if failing and time <= 1.2 * usual_time and host.load < 0.8:
                     self.drop(host, ready, False)
-                elif failing or slow or host.load > max(0.88, usual_load + 0.12):
+                elif failing or slow or host.load > max(0.75, usual_load + 0.12):
                     self.strain(host, ready)
 
     def drop(self, host, ready, by_probe):
@@ -593,7 +598,6 @@
         bad = self.middle_try(heard, lambda h: h.bad / h.tries)
         late = self.middle_try(heard, lambda h: h.mean_time) / self.mean_target()
         load = self.middle_try(heard, lambda h: h.load)
-        self.orders.append(our.LogLine(f"dbg n {len(heard)} cold {sum(h.cold_from is not None for h in heard)} bad {bad:.2f} late {late:.2f} load {load:.2f} room {self.room:.2f} q {self.queue:.0f} dirty {len(self.dirty)} out {sum(h.out_until is not None for h in self.hosts.values())} reach {sum(1-h.reach for h in self.hosts.values()):.1f}"))
         # What fails or is late while hosts have room is no want of room: a way, answers that get lost, callers
         # in a hurry; or, right after a cut, what was sent before it. Load reports are newer.
         told = "util" in self.facts["report_fields"]
