--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -40,7 +40,7 @@
 ROUNDS_HEARD, SUMS_LATE = 3, 1.0  # until a steward that starts acts; seconds that sums are late, about
 BAD_MUCH = 0.1  # part of its tries that fails at the middle host of a fleet without room
 LATE_MUCH = 0.42  # or its answers take this part of the response target
-EDGE, REGAIN_PAST = 0.85, 0.02  # of the level where a storm began, surely carried; past it, a round
+EDGE, REGAIN_PAST = 0.85, 0.03  # of the level where a storm began, surely carried; past it, a round
 FULL, MOST_CUT = 0.85, 0.7  # part of its cores that the middle host may use; what a cut leaves at least
 LEAST_LET_IN, LEAST_OF_ONE = 0.3, 0.05  # of all kinds, of one
 COLD_PART, COLD_MOST = 0.2, 0.2  # of what tips a cold host, its plan; of a table, all cold ones' part
@@ -455,7 +455,7 @@
     def take_report(host, report):
         if report:
             load = min(1.0, report.get("util", report.get("waiting", 0.0)))
-            host.load += (load - host.load) / 3
+            host.load += (load - host.load) / 2
 
     def end_round(self):
         self.rounds, self.round_open = self.rounds + 1, False
@@ -601,8 +601,8 @@
         # What fails or is late while hosts have room is no want of room: a way, answers that get lost, callers
         # in a hurry; or, right after a cut, what was sent before it. Load reports are newer.
         told = "util" in self.facts["report_fields"]
-        over = load < 0.6 and (told or self.room <= LEAST_LET_IN)
-        if (bad > BAD_MUCH or late > LATE_MUCH) and not over:
+        over = load < 0.6 and (told or self.cutting)
+        if (bad > BAD_MUCH or late > LATE_MUCH or told and load > FULL) and not over:
             # Full queues hold work whose clients have gone: little is let in until it is done. Two rounds
             # must tell so: sums that a stall held back all come at once and look like a storm.
             storm = bad > 3 * BAD_MUCH or late > 2 * LATE_MUCH
