--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -31,6 +31,7 @@
 STRAIN_GAP, FIRST_REGAIN = 5.0, 10.0  # until relief is heard; a slow host's first wait, doubled each time
 FAR_MUCH = 0.3  # of the response target: later than at home, on the whole of a way
 QUIET_WAIT, LONGEST_WAIT = 10.0, 60.0  # a dropped member's first wait, doubled each time that it fails again
+HOME_WORTH = 0.02  # of gain, a crossing: below, it is not worth the risk that a zone brings more than assumed
 ROOMY = 0.6  # part of its cores that a zone may use although others use less
 PLAN_EVERY, PLAN_SLACK = 2.0, 0.15  # seconds; the part of a zone's plan that must change to move a size
 STAGES, STAGE_GAP = 10, 0.2  # deltas reach this fraction of the proxies at a time; mean seconds between
@@ -92,7 +93,7 @@
         self.lines = [{} for _ in range(groups)]  # by group: host id -> weight as published
         self.joined = self.bound = False
         self.sent = deque()
-        self.heard = {}  # reqs a second by kind, as the sums tell
+        self.heard, self.ranked = {}, []  # reqs a second by kind, as the sums tell; all hosts by its rank
 
 
 class Planner:
@@ -110,7 +111,7 @@
         self.room, self.level_at, self.levels = 1.0, 0.0, None
         self.edge, self.strain_heard = 1.0, 0.0
         self.cutting = self.stormy = self.tight = False
-        self.dirty, self.sunk = set(), False
+        self.dirty, self.sunk, self.lost = set(), False, False
         self.plan, self.plan_at = {}, 0.0
         self.cycle = settings.get("sums_every", 1.0)  # seconds between two sums of one host, about
         self.ways, self.far = {}, set()  # (zone of proxies, of hosts): until when bad and the wait; those now
@@ -148,11 +149,11 @@
             groups.setdefault(places, []).append(at)
         return list(groups.items())
 
-    def open_hosts(self, group, zone):
+    def open_hosts(self, group, zone, hosts=None):
         """By zone, the hosts listed ready that the group's reqs may go to from that zone."""
         zones, machines, own_zone = self.group_open[group][0]
         found = {}
-        for host in self.hosts.values():
+        for host in self.hosts.values() if hosts is None else hosts:
             if (host.phase == "ready" and (not zones or host.zone in zones)
                     and (not machines or host.machine in machines) and (not own_zone or host.zone == zone)):
                 found.setdefault(host.zone, []).append(host)
@@ -170,11 +171,18 @@
         work, brought = self.work_of_kinds(), {}
         for proxy in self.joined:
             brought[proxy.zone] = brought.get(proxy.zone, 0.0) + max(0.1, proxy.rate)
+        mine, hosts = len(self.joined), [h for h in self.hosts.values() if h.phase == "ready"]
+        unseen = [h.zone for h in hosts if h.zone not in brought]
+        if unseen and mine and self.facts.get("joins_own_zone"):
+            # Other stewards' proxies are not seen: they are taken to be like this one's, spread as hosts are.
+            each = sum(brought.values()) / mine * max(0, self.facts["proxies"] - mine) / len(unseen)
+            for zone in unseen:
+                brought[zone] = brought.get(zone, 0.0) + each
         load, plan, rooms = {}, {}, []
         used = middle([h.load for h in self.hosts.values() if h.usable])
         slack = min(2.0, max(1.0, ROOMY / used)) if used and "util" in self.facts["report_fields"] else 1.0
         for group, ((_, _, own_zone), kinds) in enumerate(self.group_open):
-            room = {zone: sum(h.weight * h.share * h.reach for h in hosts if h.usable)
+            room = {zone: sum(h.weight * h.share for h in hosts if h.usable)
                     for zone, hosts in self.open_hosts(group, None).items()}
             room = {zone: much for zone, much in room.items() if much}
             if room and not own_zone:
@@ -209,7 +217,9 @@
         """Sizes hold still while the plan only wavers: each change of a size reopens connections. A part of a
         zone is unevenly loaded by its few holders, which only proxies that take the lighter of two even out:
         where they do not, and all kinds are open to the same hosts, zones are taken whole."""
-        if len(self.group_open) < 2 and self.facts.get("pick") != "lighter of two":
+        holders = self.facts["proxies"] / max(1, self.facts["stewards"])
+        if (len(self.group_open) < 2 and self.facts.get("pick") != "lighter of two"
+                and (holders < COVERAGE or self.facts.get("price_of_crossing", 0.0) < HOME_WORTH)):
             return
         new = self.plan_zones()
         if new.keys() != self.plan.keys() or any(
@@ -221,17 +231,20 @@
     def shard(self, proxy, group):
         """The proxy's top-ranked hosts of each zone. A rank has no memory, so that every steward gives a
         proxy the same shard and a change of the list moves few lines."""
-        zones = self.open_hosts(group, proxy.zone)
-        for members in zones.values():
-            members.sort(key=lambda h: self.rank(proxy, h))
+        if len(proxy.ranked) != len(self.hosts):
+            proxy.ranked = sorted(self.hosts.values(), key=lambda h: self.rank(proxy, h))
+        zones = self.open_hosts(group, proxy.zone, proxy.ranked)
         holders = max(1.0, self.facts["proxies"] / max(1, self.facts["stewards"]))
         parts = self.plan.get((group, proxy.zone), {})
-        fullest = max(parts.values(), default=0.0)
-        shard, bad = {}, sum(way[0] == proxy.zone for way in self.far)
+        asked = {z: parts.get(z, 0.0 if parts else 1.0) * len(members) for z, members in zones.items()}
+        most = {z: ceil(COVERAGE * len(members) / holders) for z, members in zones.items()}
+        total, shard = max(1e-9, sum(asked.values())), {}
+        size = min(sum(most.values()), total / max([1e-9, *(asked[z] / len(zones[z]) for z in zones)]))
         for zone, members in zones.items():
-            part = parts.get(zone, 0.0) / fullest if fullest else 1.0
-            size = min(round(part * len(members)), ceil(COVERAGE * len(members) / holders))
-            shard[zone] = members[:max(LEAST_A_ZONE, size * (1 + bad * (zone == proxy.zone)))]
+            here = round(size * asked[zone] / total)
+            if self.facts.get("pick") == "lighter of two":
+                here = min(here, most[zone])
+            shard[zone] = members[:max(LEAST_A_ZONE, here)]
         return shard, zones
 
     def table(self, proxy, group):
@@ -279,8 +292,7 @@
         waiting = [p for p in self.joined if not p.bound and self.hosts and (
             self.now >= p.hold_until or self.rounds >= ROUNDS_HEARD)]
         for proxy in sorted(waiting, key=lambda p: (not self.may_lack(p), p.hold_until)):
-            self.drain_queue()
-            if self.queue > 0.4 * self.facts["queue_most"]:
+            if not self.has_room():
                 return
             self.write_table(proxy)
             proxy.bound = True
@@ -293,13 +305,15 @@
 
     def remove_lost(self):
         """Hosts that drain, went or were dropped leave every table at once: their reqs are lost reqs."""
-        for proxy in self.joined:
+        lost, self.lost = self.lost, False
+        for proxy in self.joined if lost else ():
             for group, lines in enumerate(proxy.lines if proxy.bound else ()):
-                lost = [h for h in lines if not self.hosts[h].usable]
-                if lost and self.chilly([self.hosts[h] for h in lines if self.hosts[h].usable]):
+                gone = [h for h in lines if not self.hosts[h].usable]
+                # What cold hosts would get of what is left makes it urgent to add others, while there is room.
+                if gone and self.has_room() and self.chilly([self.hosts[h] for h in lines.keys() - gone]):
                     self.write_table(proxy)
                     continue
-                for host in lost:
+                for host in gone:
                     self.set_line(proxy, group, host, 0.0)
 
     def publish_stage(self):
@@ -307,14 +321,14 @@
         if not self.dirty or (self.now < self.stage_at and not self.sunk):
             return
         part = 0.8 if self.sunk else 0.5  # of its messages
-        changed = map(self.proxies.get, sorted(self.dirty))
-        waiting = [p for p in changed if p.bound and self.may_write(p, part)]
+        waiting = [p for p in map(self.proxies.get, sorted(self.dirty)) if p.bound and self.may_write(p, part)]
         self.shuffle(waiting)
         # A cold host's part that must sink is as urgent as a removal.
         some = len(waiting) if self.sunk else ceil(len(self.proxies) / STAGES)
         self.sunk = False
         for proxy in waiting[:some]:
-            self.write_table(proxy)
+            if self.may_write(proxy, part):  # the tables before it may have filled the queue
+                self.write_table(proxy)
         self.stage_at = self.now + self.draw(0.5, 1.5) * STAGE_GAP
 
     def all_dirty(self):
@@ -332,7 +346,7 @@
                 host.phase = "gone"
         for member in event.members:
             self.take_member(member)
-        self.listed = True
+        self.listed = self.lost = True
         for host in self.hosts.values():
             if (host.phase != "ready") != host.withdrawn:
                 self.withdraw(host, not host.withdrawn)
@@ -550,6 +564,7 @@
         if (sum(not h.usable for h in ready) + 1 > len(ready) * 0.4
                 or sum(not h.usable for h in zone) + 1 > len(zone) * 0.67):
             return
+        self.lost = True
         host.strikes = host.strikes + 1 if self.now - host.returned_at <= 30 else 1
         host.out_by_probe, host.probe_passes = by_probe, 0
         host.out_until = self.now + min(LONGEST_WAIT, QUIET_WAIT * 2 ** (host.strikes - 1))
@@ -681,6 +696,11 @@
         self.drain_queue()
         return self.queue < 0.25 * self.facts["queue_most"] and (not most or len(proxy.sent) < most * part)
 
+    def has_room(self):
+        """For what is urgent and yet long."""
+        self.drain_queue()
+        return self.queue < 0.4 * self.facts["queue_most"]
+
     def drain_queue(self):
         """On some days the channel is slower than told: half its pace is what is counted on."""
         spent = (self.now - self.queue_at) * self.facts["channel_rate"] / 2
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -76,7 +76,7 @@
     def test_a_removal_that_leaves_only_cold_hosts_writes_the_table_anew(self):
         made = planner()
         proxy = made.proxies[0]
-        made.orders, warm = [], [h for h in made.hosts if h > 3]
+        made.orders, made.lost, warm = [], True, [h for h in made.hosts if h > 3]
         proxy.lines[0] = {0: 0.06, 1: 1.0}
         made.hosts[0].cold_from, made.hosts[0].share, made.hosts[1].phase = 100.0, 0.06, "gone"
         made.remove_lost()
