--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -41,7 +41,7 @@
 ROUNDS_HEARD, SUMS_LATE = 3, 1.0  # until a steward that starts acts; seconds that sums are late, about
 BAD_MUCH = 0.1  # part of its tries that fails at the middle host of a fleet without room
 LATE_MUCH = 0.42  # or its answers take this part of the response target
-EDGE, REGAIN_PAST = 0.85, 0.03  # of the level where a storm began, surely carried; past it, a round
+EDGE, REGAIN_PAST = 0.85, 0.02  # of the level where a storm began, surely carried; past it, a round
 FULL, MOST_CUT = 0.85, 0.7  # part of its cores that the middle host may use; what a cut leaves at least
 LEAST_LET_IN, LEAST_OF_ONE = 0.3, 0.05  # of all kinds, of one
 COLD_PART, COLD_MOST = 0.2, 0.2  # of what tips a cold host, its plan; of a table, all cold ones' part
@@ -631,9 +631,9 @@
             self.cutting, self.stormy, self.strain_heard = True, storm, late + bad
             self.level_at += 1.0 if grave else 0.0
         elif over and self.room <= LEAST_LET_IN or late < 0.7 * LATE_MUCH and load < FULL:
-            # Back fast to what was surely carried; past it slowly, or a third of the way that reports
+            # Back fast to what was surely carried; past it slowly, or a tenth of the way that reports
             # tell, since they lag: a second storm costs more than the wait.
-            past = max(REGAIN_PAST, self.room * (FULL / max(0.4, load) - 1) / 3 if told else 0.0)
+            past = max(REGAIN_PAST, self.room * (FULL / max(0.4, load) - 1) / 10 if told else 0.0)
             self.room, self.cutting = min(1.0, max(self.edge, self.room + past)), False
             self.stormy, self.strain_heard = False, 0.0
         self.order_levels()
