--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -555,7 +555,7 @@
                 slow = time > max(1.5 * usual_time, 0.6 * target)
                 if failing and time <= 1.2 * usual_time and host.load < 0.8:
                     self.drop(host, ready, False)
-                elif failing or slow or host.load > max(0.75, usual_load + 0.12):
+                elif failing or slow or host.load > max(0.85, usual_load + 0.15):
                     self.strain(host, ready)
 
     def drop(self, host, ready, by_probe):
