--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -557,6 +557,8 @@
                     self.drop(host, ready, False)
                 elif failing or slow or host.load > max(0.85, usual_load + 0.15):
                     self.strain(host, ready)
+                elif host.load < usual_load - 0.1 and self.now - host.strained_at > STRAIN_GAP:
+                    host.regain_at = host.regain_at and self.now  # its part drowns others by now
 
     def drop(self, host, ready, by_probe):
         """Never so many that the rest could not carry the load, whatever the evidence."""
