--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -619,7 +619,7 @@
         # in a hurry; or, right after a cut, what was sent before it. Load reports are newer.
         told = "util" in self.facts["report_fields"]
         over = load < 0.6 and (told or self.cutting)
-        if (bad > BAD_MUCH or late > LATE_MUCH or told and load > FULL) and not over:
+        if (bad > BAD_MUCH or late > LATE_MUCH or load > FULL) and not over:
             # Full queues hold work whose clients have gone: little is let in until it is done. Two rounds
             # must tell so: sums that a stall held back all come at once and look like a storm.
             storm = bad > 3 * BAD_MUCH or late > 2 * LATE_MUCH
@@ -635,7 +635,8 @@
         elif over and self.room <= LEAST_LET_IN or late < 0.7 * LATE_MUCH and load < FULL:
             # Back fast to what was surely carried; past it slowly, or a tenth of the way that reports
             # tell, since they lag: a second storm costs more than the wait.
-            past = max(REGAIN_PAST, self.room * (FULL / max(0.4, load) - 1) / 10 if told else 0.0)
+            more = FULL / max(0.4, load) if told else LATE_MUCH / max(0.1, late)
+            past = max(REGAIN_PAST, self.room * (more - 1) / 10)
             self.room, self.cutting = min(1.0, max(self.edge, self.room + past)), False
             self.stormy, self.strain_heard = False, 0.0
         self.order_levels()
