--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -398,10 +398,11 @@
         self.set_reach(host, host.reach - STEP)
 
     def set_reach(self, host, reach):
-        """Of the proxies, by what they bring, those that rank the host lowest do without it."""
+        """Of its holders, by what they bring, those that rank the host lowest do without it."""
         host.reach, host.regain_at = reach, self.now + host.regain_wait if reach < 1 else None
-        spare, host.spared = (1 - reach) * sum(p.rate for p in self.joined), set()
-        for proxy in sorted(self.joined, key=lambda p: self.rank(p, host), reverse=True):
+        holders = [p for p in self.joined if p.number in host.spared or any(host.id in li for li in p.lines)]
+        spare, host.spared = (1 - reach) * sum(p.rate for p in holders), set()
+        for proxy in sorted(holders, key=lambda p: self.rank(p, host), reverse=True):
             if proxy.rate / 2 < spare:
                 host.spared.add(proxy.number)
                 spare -= proxy.rate
