--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -32,7 +32,6 @@
 FAR_MUCH = 0.3  # of the response target: later than at home, on the whole of a way
 QUIET_WAIT, LONGEST_WAIT = 10.0, 60.0  # a dropped member's first wait, doubled each time that it fails again
 HOME_WORTH = 0.02  # of gain, a crossing: below, it is not worth the risk that a zone brings more than assumed
-ROOMY = 0.6  # part of its cores that a zone may use although others use less
 PLAN_EVERY, PLAN_SLACK = 2.0, 0.15  # seconds; the part of a zone's plan that must change to move a size
 STAGES, STAGE_GAP = 10, 0.2  # deltas reach this fraction of the proxies at a time; mean seconds between
 TICK, ROUND_WAIT = 0.1, 0.2  # seconds; until all the sums of a round are in
@@ -76,6 +75,10 @@
         self.load = 0.0  # fading load report: part of its cores in use, or 1 with reqs waiting
         self.good_at = now
 
+    def take_report(self, report):
+        if report:
+            self.load += (min(1.0, report.get("util", report.get("waiting", 0.0))) - self.load) / 2
+
     @property
     def mean_time(self):
         return self.answer_time / max(0.5, self.tries - self.bad)
@@ -103,10 +106,11 @@
         self.draw, self.shuffle = rng.uniform, rng.shuffle
         self.hosts, self.proxies, self.orders = {}, {}, []
         self.group_open = self.group_kinds()
+        self.holders = max(1.0, settings.get("proxies", 1) / max(1, settings.get("stewards", 1)))
         self.now, self.listed = None, False
         self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else None
         self.queue = self.queue_at = self.stage_at = 0.0
-        self.rounds, self.round_at, self.round_open = 0, -1e9, False
+        self.rounds, self.round_at = 0, None
         self.reqs = [1.0] * len(settings["req_kinds"])
         self.room, self.level_at, self.levels = 1.0, 0.0, None
         self.edge, self.strain_heard = 1.0, 0.0
@@ -127,7 +131,7 @@
             self.order_levels()
         for event in events:
             self.handlers.get(type(event), lambda _: None)(event)
-        if self.now >= self.plan_at and self.hosts:
+        if self.now >= self.plan_at and self.hosts and self.joined:
             self.plan_at = self.now + PLAN_EVERY
             self.keep_plan()
         self.bind_waiting()
@@ -166,60 +170,43 @@
 
     def plan_zones(self):
         """By group and zone of proxies, the part of their reqs that each zone should take: every zone's hosts
-        alike full, or unlike while all have room, kinds with fewest open hosts first, and no req crosses that
-        need not. A steward spreads what its own proxies bring: if each does so evenly, all together do."""
-        work, brought = self.work_of_kinds(), {}
+        alike full, kinds with fewest open hosts first, and no req crosses that need not. Other stewards'
+        proxies are taken to be like its own, spread as hosts are."""
+        work, brought, plan, rooms = self.work_of_kinds(), {}, {}, []
         for proxy in self.joined:
             brought[proxy.zone] = brought.get(proxy.zone, 0.0) + max(0.1, proxy.rate)
-        mine, hosts = len(self.joined), [h for h in self.hosts.values() if h.phase == "ready"]
-        unseen = [h.zone for h in hosts if h.zone not in brought]
-        if unseen and mine and self.facts.get("joins_own_zone"):
-            # Other stewards' proxies are not seen: they are taken to be like this one's, spread as hosts are.
-            each = sum(brought.values()) / mine * max(0, self.facts["proxies"] - mine) / len(unseen)
-            for zone in unseen:
-                brought[zone] = brought.get(zone, 0.0) + each
-        load, plan, rooms = {}, {}, []
-        used = middle([h.load for h in self.hosts.values() if h.usable])
-        slack = min(2.0, max(1.0, ROOMY / used)) if used and "util" in self.facts["report_fields"] else 1.0
+        mine, hosts = len(self.joined), [h for h in self.hosts.values() if h.usable]
+        unseen = [h.zone for h in hosts if h.zone not in brought and self.facts.get("joins_own_zone")]
+        each = sum(brought.values()) / mine * max(0, self.facts["proxies"] - mine) / max(1, len(unseen))
+        for zone in unseen:
+            brought[zone] = brought.get(zone, 0.0) + each
+        part = sum(brought.values()) / max(1e-9, sum(h.weight * h.share for h in hosts))
+        left = {zone: 0.0 for zone in brought}  # of what each zone should take
+        for host in hosts:
+            left[host.zone] = left.get(host.zone, 0.0) + host.weight * host.share * part
         for group, ((_, _, own_zone), kinds) in enumerate(self.group_open):
-            room = {zone: sum(h.weight * h.share for h in hosts if h.usable)
-                    for zone, hosts in self.open_hosts(group, None).items()}
-            room = {zone: much for zone, much in room.items() if much}
-            if room and not own_zone:
+            room = {zone: sum(h.weight * h.share for h in members if h.usable)
+                    for zone, members in self.open_hosts(group, None).items()}
+            if sum(room.values()) and not own_zone:
                 rooms.append((sum(room.values()), group, room, sum(work[k] for k in kinds) / sum(work)))
         for _, group, room, part in sorted(rooms, key=lambda r: r[:2]):
-            asked = {zone: rate * part for zone, rate in brought.items()}
-            taken = self.fill(room, load, sum(asked.values()))
-            at_home = {z: min(asked.get(z, 0.0), taken[z] * slack) for z in room}
-            spare = {z: max(0.0, taken[z] - at_home[z]) for z in room}
-            away = 1 / max(1e-9, sum(spare.values()))
-            leave = sum(asked.values()) - sum(at_home.values())
+            home = {z: max(0.0, min(brought.get(z, 0.0) * part, left[z])) for z in room}
+            spare = {z: max(0.0, left[z] - home[z]) for z in room}
+            spare = spare if sum(spare.values()) > 1e-6 else room
+            away = (sum(brought.values()) * part - sum(home.values())) / sum(spare.values())
             for zone in room:
-                load[zone] = load.get(zone, 0.0) + at_home[zone] + leave * spare[zone] * away
-            for zone, amount in asked.items():
-                stays = at_home.get(zone, 0.0) / amount
-                plan[group, zone] = {
-                    z: ((1 - stays) * spare[z] * away + stays * (z == zone)) / room[z] for z in room}
+                left[zone] -= home[zone] + spare[zone] * away
+            for zone, rate in brought.items():
+                stays = home.get(zone, 0.0) / max(1e-9, rate * part)
+                plan[group, zone] = {z: ((1 - stays) * spare[z] / sum(spare.values()) + stays * (z == zone))
+                                     / max(1e-9, room[z]) for z in room}
         return plan
 
-    @staticmethod
-    def fill(room, load, amount):
-        """What each zone takes of an amount so that all come as near as can be to one level of load."""
-        order = sorted(room, key=lambda z: (load.get(z, 0.0) / room[z], z))
-        for most in range(len(order), 0, -1):
-            into = order[:most]
-            level = (amount + sum(load.get(z, 0.0) for z in into)) / sum(room[z] for z in into)
-            if level * room[into[-1]] >= load.get(into[-1], 0.0):
-                break
-        return {z: level * room[z] - load.get(z, 0.0) if z in into else 0.0 for z in room}
-
     def keep_plan(self):
-        """Sizes hold still while the plan only wavers: each change of a size reopens connections. A part of a
-        zone is unevenly loaded by its few holders, which only proxies that take the lighter of two even out:
-        where they do not, and all kinds are open to the same hosts, zones are taken whole."""
-        holders = self.facts["proxies"] / max(1, self.facts["stewards"])
+        """Sizes hold still while the plan only wavers: each change reopens connections. Few holders load a
+        part of a zone unevenly: zones are whole there, unless proxies even it out or kinds differ."""
         if (len(self.group_open) < 2 and self.facts.get("pick") != "lighter of two"
-                and (holders < COVERAGE or self.facts.get("price_of_crossing", 0.0) < HOME_WORTH)):
+                and (self.holders < COVERAGE or self.facts.get("price_of_crossing", 0.0) < HOME_WORTH)):
             return
         new = self.plan_zones()
         if new.keys() != self.plan.keys() or any(
@@ -234,16 +221,14 @@
         if len(proxy.ranked) != len(self.hosts):
             proxy.ranked = sorted(self.hosts.values(), key=lambda h: self.rank(proxy, h))
         zones = self.open_hosts(group, proxy.zone, proxy.ranked)
-        holders = max(1.0, self.facts["proxies"] / max(1, self.facts["stewards"]))
         parts = self.plan.get((group, proxy.zone), {})
         asked = {z: parts.get(z, 0.0 if parts else 1.0) * len(members) for z, members in zones.items()}
-        most = {z: ceil(COVERAGE * len(members) / holders) for z, members in zones.items()}
+        most = {z: ceil(COVERAGE * len(members) / self.holders) for z, members in zones.items()}
         total, shard = max(1e-9, sum(asked.values())), {}
         size = min(sum(most.values()), total / max([1e-9, *(asked[z] / len(zones[z]) for z in zones)]))
         for zone, members in zones.items():
-            here = round(size * asked[zone] / total)
-            if self.facts.get("pick") == "lighter of two":
-                here = min(here, most[zone])
+            even = self.facts.get("pick") == "lighter of two"  # such proxies need no large part of home
+            here = min(round(size * asked[zone] / total), most[zone] if even else len(members))
             shard[zone] = members[:max(LEAST_A_ZONE, here)]
         return shard, zones
 
@@ -291,7 +276,8 @@
         those whose standing tables, drawn in their zone, may lack a line for some kind."""
         waiting = [p for p in self.joined if not p.bound and self.hosts and (
             self.now >= p.hold_until or self.rounds >= ROUNDS_HEARD)]
-        for proxy in sorted(waiting, key=lambda p: (not self.may_lack(p), p.hold_until)):
+        kinds_of = range(len(self.group_open))
+        for proxy in sorted(waiting, key=lambda p: all(p.zone in self.open_hosts(g, p.zone) for g in kinds_of)):
             if not self.has_room():
                 return
             self.write_table(proxy)
@@ -300,9 +286,6 @@
                 self.orders.append(our.BindTable(proxy.number, proxy.first_table + group, tuple(kinds)))
                 self.book(proxy, 1 + len(proxy.lines[group]) + len(self.facts["req_kinds"]))
 
-    def may_lack(self, proxy):
-        return any(proxy.zone not in self.open_hosts(group, proxy.zone) for group in range(len(self.group_open)))
-
     def remove_lost(self):
         """Hosts that drain, went or were dropped leave every table at once: their reqs are lost reqs."""
         lost, self.lost = self.lost, False
@@ -386,9 +369,8 @@
         host.share = self.cold_share(host)
 
     def strain(self, host, ready):
-        """Slow against its peers, with a queue of its own: it keeps its weight but leaves some shards, for
-        longer each time, so that it neither drowns nor swings. Not for shared trouble, and only while the
-        others can take its part."""
+        """Slow or full against its peers: it keeps its weight but leaves some shards, for longer each time, so
+        that it neither drowns nor swings; only while the others can take its part."""
         if (self.now - host.strained_at < STRAIN_GAP or host.reach <= 1 - 3 * STEP
                 or sum(h.reach for h in ready if h.usable) < len(ready) * 0.8):
             return
@@ -451,8 +433,7 @@
 
     def on_host_sums(self, event):
         host = self.hosts.get(event.host)
-        if self.now - self.round_at > self.facts["sums_every"] / 2:
-            self.round_at, self.round_open = self.now, True
+        self.round_at = self.now if self.round_at is None else self.round_at
         # Sums from before a start tell of the process that was there before.
         if host is None or host.cold_from is not None and self.now - event.span - SUMS_LATE < host.cold_from:
             return
@@ -461,19 +442,13 @@
         good = event.tries - event.bad
         if good:
             host.good_at = self.now
-        old, news = host.sums.get(event.zone, (self.now, 0, 0, 0)), (event.tries, event.bad, event.mean_time * good)
-        keep = FADE ** ((self.now - old[0]) / self.cycle)
-        host.sums[event.zone] = self.now, *(o * keep + n for o, n in zip(old[1:], news))
-        self.take_report(host, event.report)
-
-    @staticmethod
-    def take_report(host, report):
-        if report:
-            load = min(1.0, report.get("util", report.get("waiting", 0.0)))
-            host.load += (load - host.load) / 2
+        at, *old = host.sums.get(event.zone, (self.now, 0, 0, 0))
+        keep, news = FADE ** ((self.now - at) / self.cycle), (event.tries, event.bad, event.mean_time * good)
+        host.sums[event.zone] = self.now, *(o * keep + n for o, n in zip(old, news))
+        host.take_report(event.report)
 
     def end_round(self):
-        self.rounds, self.round_open = self.rounds + 1, False
+        self.rounds, self.round_at = self.rounds + 1, None
         self.watch_ways()
         # Fading is quick: once little is let in, the many failures of a storm outweigh the few good sums.
         for host in self.hosts.values():
@@ -523,7 +498,7 @@
         host = self.hosts.get(event.host)
         if host is None or event.outcome == "denied":
             return
-        self.take_report(host, event.report)
+        host.take_report(event.report)
         passed = event.outcome == "ok"
         host.probes_bad += ((not passed) - host.probes_bad) / 4
         host.probe_passes = host.probe_passes + 1 if passed else 0
@@ -603,9 +578,8 @@
     # Orders for all, the channel, time.
 
     def watch_room(self):
-        """The share let in: judged by the middle host, since a few that fail are no want of room, once a
-        round, since an order's effect is heard no sooner. Refused clients cost nothing; storms feed on
-        tries that were let in and failed."""
+        """The share let in, once a round, since an order's effect is heard no sooner. Refused clients cost
+        nothing; storms feed on tries that were let in and failed."""
         if self.now < self.level_at:
             return
         # Few tries a host are enough: when little is let in, nothing else would ever tell that all is well.
@@ -621,8 +595,8 @@
         told = "util" in self.facts["report_fields"]
         over = load < 0.6 and (told or self.cutting)
         if (bad > BAD_MUCH or late > LATE_MUCH or load > FULL) and not over:
-            # Full queues hold work whose clients have gone: little is let in until it is done. Two rounds
-            # must tell so: sums that a stall held back all come at once and look like a storm.
+            # Full queues hold work whose clients have gone: little is let in until it is done, once two rounds
+            # tell so: sums that a stall held back all come at once and look like a storm.
             storm = bad > 3 * BAD_MUCH or late > 2 * LATE_MUCH
             grave = storm and self.stormy
             if grave or not self.cutting:
@@ -687,7 +661,7 @@
         if self.watch_at is not None and self.now >= self.watch_at:
             self.watch_at = None
             self.orders.append(our.WatchRoster(True))
-        if self.round_open and self.now - self.round_at >= ROUND_WAIT:
+        if self.round_at is not None and self.now - self.round_at >= ROUND_WAIT:
             self.end_round()
         for host in self.hosts.values():
             self.tend(host)
@@ -697,22 +671,17 @@
         most = self.facts["messages_most"]
         while proxy.sent and self.now - proxy.sent[0] > self.facts["messages_span"]:
             proxy.sent.popleft()
-        self.drain_queue()
-        return self.queue < 0.25 * self.facts["queue_most"] and (not most or len(proxy.sent) < most * part)
-
-    def has_room(self):
-        """For what is urgent and yet long."""
-        self.drain_queue()
-        return self.queue < 0.4 * self.facts["queue_most"]
+        return self.has_room(0.25) and (not most or len(proxy.sent) < most * part)
 
-    def drain_queue(self):
+    def has_room(self, part=0.4):
         """On some days the channel is slower than told: half its pace is what is counted on."""
         spent = (self.now - self.queue_at) * self.facts["channel_rate"] / 2
         self.queue, self.queue_at = max(0.0, self.queue - spent), self.now
+        return self.queue < part * self.facts["queue_most"]
 
     def book(self, proxy, lines):
         """One batch makes one message a proxy: its head counts once."""
-        self.drain_queue()
+        self.has_room()
         if not proxy.sent or proxy.sent[-1] < self.now:
             proxy.sent.append(self.now)
             self.queue += self.facts["message_head"]
