--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -23,25 +23,22 @@
 
 from . import interface as our
 
-COVERAGE = 25.0  # shards of this steward's proxies that each host should sit in
-LEAST_A_ZONE = 1
+COVERAGE, LEAST_A_ZONE = 25.0, 1  # shards of this steward's proxies that each host should sit in; hosts
 FIRST_SHARE = 0.25  # part of its weight that a new or returning host starts with
 RAMP, STEP = 10.0, 0.25  # seconds from there to the full weight, in steps of this part of it
 GROW_WAIT = RAMP * STEP / (1 - FIRST_SHARE)
 STRAIN_GAP, FIRST_REGAIN = 5.0, 10.0  # until relief is heard; a slow host's first wait, doubled each time
-FAR_MUCH = 0.3  # of the response target: later than at home, on the whole of a way
 QUIET_WAIT, LONGEST_WAIT = 10.0, 60.0  # a dropped member's first wait, doubled each time that it fails again
+FAR_MUCH = 0.3  # of the response target: later than at home, on the whole of a way
 HOME_WORTH = 0.02  # of gain, a crossing: below, it is not worth the risk that a zone brings more than assumed
 PLAN_EVERY, PLAN_SLACK = 2.0, 0.15  # seconds; the part of a zone's plan that must change to move a size
 STAGES, STAGE_GAP = 10, 0.2  # deltas reach this fraction of the proxies at a time; mean seconds between
-TICK, ROUND_WAIT = 0.1, 0.2  # seconds; until all the sums of a round are in
-FADE = 0.25  # what a second leaves of the sums heard
+TICK, ROUND_WAIT, FADE = 0.1, 0.2, 0.25  # seconds; until a round's sums are in; what is left of older ones
 PROBE_EVERY, PROBE_AGAIN = 1.0, 0.3  # seconds; after a failure sooner
 ROUNDS_HEARD, SUMS_LATE = 3, 1.0  # until a steward that starts acts; seconds that sums are late, about
-BAD_MUCH = 0.1  # part of its tries that fails at the middle host of a fleet without room
-LATE_MUCH = 0.42  # or its answers take this part of the response target
-EDGE, REGAIN_PAST = 0.85, 0.02  # of the level where a storm began, surely carried; past it, a round
+BAD_MUCH, LATE_MUCH = 0.1, 0.42  # of the middle try's host, failing; of the target: no room
 FULL, MOST_CUT = 0.85, 0.85  # part of its cores that the middle host may use; what a cut leaves at least
+EDGE, REGAIN_PAST = 0.85, 0.02  # of the level where a storm began, surely carried; past it, a round
 LEAST_LET_IN, LEAST_OF_ONE = 0.3, 0.05  # of all kinds, of one
 COLD_PART, COLD_MOST = 0.2, 0.2  # of what tips a cold host, its plan; of a table, all cold ones' part
 COLD_STEPS = (0.06, 0.12, 0.18, 0.25, 0.37, 0.5, 0.75, 1.0)
@@ -60,12 +57,11 @@
         self.zone, self.machine = member.zone, member.machine
         self.phase, self.started_at = "gone", None  # so that one listed ready counts as starting
         self.cold_from = None  # when its current cold start began, as far as is known
-        self.step, self.share = 1.0, 1.0  # part of its weight by the ramp, and as published
-        self.grow_at = None
+        self.step, self.share, self.grow_at = 1.0, 1.0, 0.0  # part of its weight by the ramp, as published
         self.reach, self.spared = 1.0, frozenset()  # part of the reqs that may come; proxies that do without
-        self.regain_at, self.regain_wait, self.strained_at = None, FIRST_REGAIN, -1e9
-        self.withdrawn = False
-        self.strikes, self.out_until, self.out_by_probe, self.returned_at = 0, None, False, -1e9
+        self.regain_at, self.regain_wait, self.strained_at = 0.0, FIRST_REGAIN, -1e9
+        self.withdrawn, self.strikes, self.out_until = False, 0, None
+        self.out_by_probe, self.returned_at = False, -1e9
         self.probe_at, self.probe_fails, self.probe_passes, self.probes_bad = 0.0, 0, 0, 0.0
         self.clear_evidence(now)
 
@@ -94,8 +90,7 @@
     def __init__(self, number, groups, first_table):
         self.number, self.first_table = number, first_table
         self.lines = [{} for _ in range(groups)]  # by group: host id -> weight as published
-        self.joined = self.bound = False
-        self.sent = deque()
+        self.joined, self.bound, self.sent = False, False, deque()
         self.heard, self.ranked = {}, []  # reqs a second by kind, as the sums tell; all hosts by its rank
 
 
@@ -108,15 +103,12 @@
         self.group_open = self.group_kinds()
         self.holders = max(1.0, settings.get("proxies", 1) / max(1, settings.get("stewards", 1)))
         self.now, self.listed = None, False
-        self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else None
+        self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else float("inf")
         self.queue = self.queue_at = self.stage_at = 0.0
-        self.rounds, self.round_at = 0, None
-        self.reqs = [1.0] * len(settings["req_kinds"])
-        self.room, self.level_at, self.levels = 1.0, 0.0, None
-        self.edge, self.strain_heard = 1.0, 0.0
-        self.cutting = self.stormy = self.tight = False
-        self.dirty, self.sunk, self.lost = set(), False, False
-        self.plan, self.plan_at = {}, 0.0
+        self.rounds, self.round_at, self.reqs = 0, float("inf"), [1.0] * len(settings["req_kinds"])
+        self.room, self.edge, self.strain_heard, self.level_at, self.levels = 1.0, 1.0, 0.0, 0.0, None
+        self.cutting = self.stormy = self.tight = self.sunk = self.lost = False
+        self.dirty, self.plan, self.plan_at = set(), {}, 0.0
         self.cycle = settings.get("sums_every", 1.0)  # seconds between two sums of one host, about
         self.ways, self.far = {}, set()  # (zone of proxies, of hosts): until when bad and the wait; those now
         self.handlers = {
@@ -143,10 +135,8 @@
     def joined(self):
         return [p for p in self.proxies.values() if p.joined]
 
-    # The design: shards, tables, deltas.
-
     def group_kinds(self):
-        """Request kinds by the hosts they are open to; kinds with the same open hosts share a table."""
+        """Kinds that are open to the same hosts share a table."""
         groups = {}
         for at, kind in enumerate(self.facts["req_kinds"]):
             places = tuple(kind.get("only_zones", ())), tuple(kind.get("only_machines", ())), kind["own_zone"]
@@ -169,9 +159,8 @@
         return blake2b(host.name, digest_size=8, salt=proxy.number.to_bytes(2, "big")).digest()
 
     def plan_zones(self):
-        """By group and zone of proxies, the part of their reqs that each zone should take: every zone's hosts
-        alike full, kinds with fewest open hosts first, and no req crosses that need not. Other stewards'
-        proxies are taken to be like its own, spread as hosts are."""
+        """By group and zone of proxies, the part of their reqs for each zone: all hosts alike full, none crosses
+        that need not. Other stewards' proxies are taken to be like its own, spread as hosts are."""
         work, brought, plan, rooms = self.work_of_kinds(), {}, {}, []
         for proxy in self.joined:
             brought[proxy.zone] = brought.get(proxy.zone, 0.0) + max(0.1, proxy.rate)
@@ -203,8 +192,8 @@
         return plan
 
     def keep_plan(self):
-        """Sizes hold still while the plan only wavers: each change reopens connections. Few holders load a
-        part of a zone unevenly: zones are whole there, unless proxies even it out or kinds differ."""
+        """Sizes hold while the plan wavers: changes reopen connections. Few holders load a part of a zone
+        unevenly: zones are whole there, unless proxies even it out or kinds differ."""
         if (len(self.group_open) < 2 and self.facts.get("pick") != "lighter of two"
                 and (self.holders < COVERAGE or self.facts.get("price_of_crossing", 0.0) < HOME_WORTH)):
             return
@@ -216,8 +205,7 @@
             self.all_dirty()
 
     def shard(self, proxy, group):
-        """The proxy's top-ranked hosts of each zone. A rank has no memory, so that every steward gives a
-        proxy the same shard and a change of the list moves few lines."""
+        """A rank has no memory: every steward gives a proxy the same shard, a new list moves few lines."""
         if len(proxy.ranked) != len(self.hosts):
             proxy.ranked = sorted(self.hosts.values(), key=lambda h: self.rank(proxy, h))
         zones = self.open_hosts(group, proxy.zone, proxy.ranked)
@@ -235,7 +223,7 @@
     def table(self, proxy, group):
         """host id -> weight, as the proxy's table should stand now."""
         shard, zones = self.shard(proxy, group)
-        members = [h for zone in sorted(shard) for h in shard[zone] if h.usable]
+        members = [h for chosen in shard.values() for h in chosen if h.usable]
         eased = [h for h in members if proxy.number not in h.spared]
         if len(eased) * 2 >= len(members):
             members = eased
@@ -243,9 +231,8 @@
             warm = {z: [h for h in hosts if h.usable and h.cold_from is None] for z, hosts in zones.items()}
             own = [h for h in warm.get(proxy.zone, []) if h not in members]
             members = members + (own or max(warm.values(), key=len, default=[]))
-        if not members:
-            # No doubt may leave a proxy without a line while the list shows hosts that run.
-            members = [h for hosts in zones.values() for h in hosts]
+        # No doubt may leave a proxy without a line while the list shows hosts that run.
+        members = members or [h for hosts in zones.values() for h in hosts]
         return {h.id: h.weight * h.share for h in members if h.share} or {h.id: h.weight for h in members}
 
     def chilly(self, members):
@@ -257,9 +244,8 @@
         for group in range(len(self.group_open)):
             goal, lines = self.table(proxy, group), proxy.lines[group]
             for host in sorted(lines.keys() | goal.keys()):
-                weight = goal.get(host, 0.0)
-                if weight != lines.get(host, 0.0):
-                    self.set_line(proxy, group, host, weight)
+                if goal.get(host) != lines.get(host):
+                    self.set_line(proxy, group, host, goal.get(host, 0.0))
         self.dirty.discard(proxy.number)
 
     def set_line(self, proxy, group, host, weight):
@@ -272,12 +258,12 @@
             self.book(proxy, 1)
 
     def bind_waiting(self):
-        """Whole tables wait for room: all proxies at once would pass what may wait in the channel. First come
-        those whose standing tables, drawn in their zone, may lack a line for some kind."""
+        """Whole tables of all proxies at once would pass what may wait in the channel. First come those whose
+        standing tables, drawn in their zone, may lack a line for some kind."""
         waiting = [p for p in self.joined if not p.bound and self.hosts and (
             self.now >= p.hold_until or self.rounds >= ROUNDS_HEARD)]
-        kinds_of = range(len(self.group_open))
-        for proxy in sorted(waiting, key=lambda p: all(p.zone in self.open_hosts(g, p.zone) for g in kinds_of)):
+        groups = range(len(self.group_open))
+        for proxy in sorted(waiting, key=lambda p: all(p.zone in self.open_hosts(g, p.zone) for g in groups)):
             if not self.has_room():
                 return
             self.write_table(proxy)
@@ -292,32 +278,29 @@
         for proxy in self.joined if lost else ():
             for group, lines in enumerate(proxy.lines if proxy.bound else ()):
                 gone = [h for h in lines if not self.hosts[h].usable]
-                # What cold hosts would get of what is left makes it urgent to add others, while there is room.
-                if gone and self.has_room() and self.chilly([self.hosts[h] for h in lines.keys() - gone]):
-                    self.write_table(proxy)
-                    continue
                 for host in gone:
                     self.set_line(proxy, group, host, 0.0)
+                # Cold hosts must not get what the lost ones had: the table is written anew, if there is room.
+                if gone and self.chilly([self.hosts[h] for h in lines]) and self.has_room():
+                    self.write_table(proxy)
 
     def publish_stage(self):
         """Deltas go to a tenth of the proxies at a time, so that a mistake is met by few at first."""
         if not self.dirty or (self.now < self.stage_at and not self.sunk):
             return
         part = 0.8 if self.sunk else 0.5  # of its messages
-        waiting = [p for p in map(self.proxies.get, sorted(self.dirty)) if p.bound and self.may_write(p, part)]
+        changed = [self.proxies[number] for number in sorted(self.dirty)]
+        waiting = [p for p in changed if p.bound and self.may_write(p, part)]
         self.shuffle(waiting)
         # A cold host's part that must sink is as urgent as a removal.
-        some = len(waiting) if self.sunk else ceil(len(self.proxies) / STAGES)
-        self.sunk = False
+        some, self.sunk = len(waiting) if self.sunk else ceil(len(self.proxies) / STAGES), False
         for proxy in waiting[:some]:
             if self.may_write(proxy, part):  # the tables before it may have filled the queue
                 self.write_table(proxy)
         self.stage_at = self.now + self.draw(0.5, 1.5) * STAGE_GAP
 
     def all_dirty(self):
-        self.dirty.update(p.number for p in self.proxies.values() if p.bound)
-
-    # The list of hosts.
+        self.dirty.update(p.number for p in self.joined if p.bound)
 
     def on_roster(self, event):
         if event.scope == "unavailable":
@@ -336,9 +319,9 @@
         self.all_dirty()
 
     def take_member(self, member):
-        host = self.hosts.get(member.host)
-        if host is None:
-            host = self.hosts[member.host] = Host(member, self.now)
+        if member.host not in self.hosts:
+            self.hosts[member.host] = Host(member, self.now)
+        host = self.hosts[member.host]
         if member.phase == "gone" and self.answers_still(host):
             return
         back = member.phase == "ready" and (host.phase != "ready" or member.started_at != host.started_at)
@@ -347,8 +330,7 @@
             return
         host.out_until, host.probe_fails = None, 0
         host.clear_evidence(self.now)
-        warm = self.facts["warm_after"]
-        host.cold_from = host.started_at if self.now - host.started_at < warm else None
+        host.cold_from = host.started_at if self.now - host.started_at < self.facts["warm_after"] else None
         if self.listed or host.cold_from is not None:
             self.start_ramp(host)
 
@@ -369,19 +351,18 @@
         host.share = self.cold_share(host)
 
     def strain(self, host, ready):
-        """Slow or full against its peers: it keeps its weight but leaves some shards, for longer each time, so
+        """Slow or full against its peers: it keeps its weight but leaves some shards, longer each time, so
         that it neither drowns nor swings; only while the others can take its part."""
         if (self.now - host.strained_at < STRAIN_GAP or host.reach <= 1 - 3 * STEP
                 or sum(h.reach for h in ready if h.usable) < len(ready) * 0.8):
             return
-        calm = self.now - max(host.strained_at, host.returned_at) > 30
+        calm, host.strained_at = self.now - max(host.strained_at, host.returned_at) > 30, self.now
         host.regain_wait = FIRST_REGAIN if calm else min(LONGEST_WAIT, host.regain_wait * 2)
-        host.strained_at = self.now
         self.set_reach(host, host.reach - STEP)
 
     def set_reach(self, host, reach):
         """Of its holders, by what they bring, those that rank the host lowest do without it."""
-        host.reach, host.regain_at = reach, self.now + host.regain_wait if reach < 1 else None
+        host.reach, host.regain_at = reach, self.now + host.regain_wait
         holders = [p for p in self.joined if p.number in host.spared or any(host.id in li for li in p.lines)]
         spare, host.spared = (1 - reach) * sum(p.rate for p in holders), set()
         for proxy in sorted(holders, key=lambda p: self.rank(p, host), reverse=True):
@@ -392,65 +373,55 @@
         self.orders.append(our.LogLine(f"host {host.id} reach {reach}"))
 
     def cold_share(self, host):
-        """A part of what pushes it over by now; none in a tight fleet where proxies shun hosts that fail
-        them: in a storm, which outruns its sums, they shun the full ones and send all to the empty one."""
+        """A part of what pushes it over by now; none in a tight fleet where proxies shun what fails them:
+        in a storm they shun the full ones and send all to the empty one."""
         if host.cold_from is None:
             return host.step
         if self.tight and self.facts.get("fails_to_shun"):
             return 0.0
-        age = min(1.0, (self.now - host.cold_from) / self.facts["warm_after"])
-        able = self.facts["cold_share"] + (1 - self.facts["cold_share"]) * age
-        most = COLD_PART * self.facts["tip_multiple"] * able
+        first, warm_after = self.facts["cold_share"], self.facts["warm_after"]
+        age = min(1.0, (self.now - host.cold_from) / warm_after)
+        most = COLD_PART * self.facts["tip_multiple"] * (first + (1 - first) * age)
         return max((s for s in COLD_STEPS if s <= min(host.step, most)), default=0.0)
 
-    # Proxies that come and go.
-
     def on_joined(self, event):
-        proxy = self.proxies.get(event.proxy)
-        if proxy is None:
+        if event.proxy not in self.proxies:
             groups = len(self.group_open)
-            proxy = self.proxies[event.proxy] = Proxy(event.proxy, groups, groups * len(self.proxies))
-        proxy.zone, proxy.rate = event.zone, event.rate
-        proxy.joined, proxy.bound = True, False
+            self.proxies[event.proxy] = Proxy(event.proxy, groups, groups * len(self.proxies))
+        proxy, self.plan_at = self.proxies[event.proxy], self.now
+        proxy.zone, proxy.rate, proxy.joined, proxy.bound = event.zone, event.rate, True, False
         proxy.sent.clear()
-        self.plan_at = self.now
-        # What it brings was laid by somebody who knew more than a steward that has just started. It must
-        # not be left so long that a proxy whose lines are all withdrawn stays without one.
+        # What it brings was laid by somebody who knew more; but all its lines may be withdrawn by now.
         keep = 0.0 if event.standing_only or self.rounds >= ROUNDS_HEARD else (
             self.facts["bare_most"] - self.facts["push_delay_most"]) / 2
         proxy.hold_until = self.now + max(0.0, keep)
-        if keep:
-            for host in self.hosts.values():
-                if host.withdrawn:
-                    self.withdraw(host, True)
+        for host in self.hosts.values() if keep else ():
+            if host.withdrawn:
+                self.withdraw(host, True)
 
     def on_left(self, event):
-        proxy = self.proxies.get(event.proxy)
-        if proxy:
-            proxy.joined = proxy.bound = False
-
-    # Health.
+        if event.proxy in self.proxies:
+            self.proxies[event.proxy].joined = self.proxies[event.proxy].bound = False
 
     def on_host_sums(self, event):
         host = self.hosts.get(event.host)
-        self.round_at = self.now if self.round_at is None else self.round_at
+        self.round_at = min(self.round_at, self.now)
         # Sums from before a start tell of the process that was there before.
         if host is None or host.cold_from is not None and self.now - event.span - SUMS_LATE < host.cold_from:
             return
         # Where lines are capped each covers many rounds and comes seldom: what was heard stands as long.
         self.cycle += (max(event.span, self.facts["sums_every"]) - self.cycle) / 8
         good = event.tries - event.bad
-        if good:
-            host.good_at = self.now
+        host.good_at = self.now if good else host.good_at
         at, *old = host.sums.get(event.zone, (self.now, 0, 0, 0))
         keep, news = FADE ** ((self.now - at) / self.cycle), (event.tries, event.bad, event.mean_time * good)
         host.sums[event.zone] = self.now, *(o * keep + n for o, n in zip(old, news))
         host.take_report(event.report)
 
     def end_round(self):
-        self.rounds, self.round_at = self.rounds + 1, None
+        self.rounds, self.round_at = self.rounds + 1, float("inf")
         self.watch_ways()
-        # Fading is quick: once little is let in, the many failures of a storm outweigh the few good sums.
+        # Fading is quick: a storm's many failures would outweigh the few good sums after it.
         for host in self.hosts.values():
             kept = [(FADE ** ((self.now - at) / self.cycle), *sums) for zone, (at, *sums) in host.sums.items()
                     if (zone, host.zone) not in self.far]
@@ -459,8 +430,7 @@
         self.watch_room()
 
     def watch_ways(self):
-        """A way on which even the quicker hosts of a zone answer far later than those at home is bad itself:
-        its proxies do without that zone for a while, and home takes its part."""
+        """A way on which even quick hosts answer far later than at home is bad itself: left for a while."""
         near = self.far
         for zone in {p.zone: 0 for p in self.joined}:
             times = {}
@@ -477,10 +447,9 @@
                     self.ways[zone, other] = self.now + wait, wait
                     self.orders.append(our.LogLine(f"way from zone {zone} to {other} is bad, {wait} s"))
         # Probes go from the steward's own zone: while they fail there is no need to try reqs again.
-        for way, (until, wait) in self.ways.items():
-            lost = middle([h.probes_bad for h in self.hosts.values() if h.zone == way[1] and h.phase == "ready"])
-            if way in self.far and way[0] == self.facts["zone"] and lost > 0.5:
-                self.ways[way] = max(until, self.now + 2 * self.cycle), wait
+        for way in [way for way in self.far if way[0] == self.facts["zone"]]:
+            if middle([h.probes_bad for h in self.hosts.values() if h.zone == way[1]]) > 0.5:
+                self.ways[way] = max(self.ways[way][0], self.now + 2 * self.cycle), self.ways[way][1]
         self.far = {way for way, (until, _) in self.ways.items() if self.now < until}
         if self.far != near:
             self.all_dirty()
@@ -499,25 +468,22 @@
         if host is None or event.outcome == "denied":
             return
         host.take_report(event.report)
-        passed = event.outcome == "ok"
-        host.probes_bad += ((not passed) - host.probes_bad) / 4
-        host.probe_passes = host.probe_passes + 1 if passed else 0
-        host.probe_fails = 0 if passed else host.probe_fails + 1
-        if not passed:
+        failed = event.outcome != "ok"
+        host.probes_bad += (failed - host.probes_bad) / 4
+        host.probe_passes = 0 if failed else host.probe_passes + 1
+        host.probe_fails = host.probe_fails + 1 if failed else 0
+        if failed:
             host.probe_at = min(host.probe_at, self.now + PROBE_AGAIN)
 
     def judge(self):
         ready = [h for h in self.hosts.values() if h.phase == "ready"]
         heard = [h for h in ready if h.usable and h.tries >= 2]
-        usual_bad = middle([h.bad / h.tries for h in heard])
-        usual_time, usual_load = middle([h.mean_time for h in heard]), middle([h.load for h in heard])
-        target = self.mean_target()
+        usual_bad, usual_load = middle([h.bad / h.tries for h in heard]), middle([h.load for h in heard])
+        usual_time, target = middle([h.mean_time for h in heard]), self.mean_target()
         strains = usual_load / 0.95, usual_time / target / LATE_MUCH, usual_bad / BAD_MUCH
         self.tight = max(strains) > (0.8 if self.tight else 1.0) and usual_load > 0.7
-        # A deep probe times out at a busy host: so many in a row must fail that no chance would do it to one
-        # whose probes fail as often as the middle one's.
-        chance = middle([h.probes_bad for h in ready])
-        fails = max(3.0, log(0.001) / log(min(0.8, max(0.01, chance))))
+        # A deep probe times out at a busy host: more must fail in a row than chance does at the middle one.
+        fails = max(3.0, log(0.001) / log(min(0.8, max(0.01, middle([h.probes_bad for h in ready])))))
         for host in [h for h in ready if h.usable]:
             tried_from = self.ways.get((self.facts["zone"], host.zone), (-1e9,))[0]
             silent = self.now - max(host.good_at, tried_from) > 1.3 * self.cycle
@@ -526,21 +492,18 @@
             elif host in heard:
                 time, part = host.mean_time, host.bad / host.tries
                 failing = host.bad >= 3 and part > max(0.25, 3 * usual_bad + 0.1)
-                # A host that fails and yet has room and answers in time fails by itself; one that is full
-                # refuses as quickly, but dropping it would drown the others.
                 slow = time > max(1.5 * usual_time, 0.6 * target)
+                # One that is full refuses as quickly, but dropping it would drown the others.
                 if failing and time <= 1.2 * usual_time and host.load < 0.8:
                     self.drop(host, ready, False)
                 elif failing or slow or host.load > max(0.85, usual_load + 0.15):
                     self.strain(host, ready)
                 elif host.load < usual_load - 0.1 and self.now - host.strained_at > STRAIN_GAP:
-                    host.regain_at = host.regain_at and self.now  # its part drowns others by now
+                    host.regain_at = self.now  # its part drowns others by now
 
     def drop(self, host, ready, by_probe):
         """Never so many that the rest could not carry the load, whatever the evidence."""
-        zone = [h for h in ready if h.zone == host.zone]
-        if (sum(not h.usable for h in ready) + 1 > len(ready) * 0.4
-                or sum(not h.usable for h in zone) + 1 > len(zone) * 0.67):
+        if sum(not h.usable for h in ready) + 1 > len(ready) * 0.4:
             return
         self.lost = True
         host.strikes = host.strikes + 1 if self.now - host.returned_at <= 30 else 1
@@ -555,15 +518,13 @@
         if host.out_until is not None and (
                 host.probe_passes >= 2 if host.out_by_probe else self.now >= host.out_until):
             host.out_until, host.returned_at = None, self.now
-            self.orders.append(our.LogLine(f"host {host.id} returns"))
             host.clear_evidence(self.now)
             self.start_ramp(host)
             self.all_dirty()
-        if host.regain_at is not None and self.now >= host.regain_at:
+        if host.reach < 1 and self.now >= host.regain_at:
             self.set_reach(host, min(1.0, host.reach + STEP))
-        if host.grow_at is not None and self.now >= host.grow_at:
-            host.step = min(1.0, host.step + STEP)
-            host.grow_at = self.now + GROW_WAIT if host.step < 1.0 else None
+        if host.step < 1.0 and self.now >= host.grow_at:
+            host.step, host.grow_at = host.step + STEP, self.now + GROW_WAIT
         if host.cold_from is not None and self.now - host.cold_from > self.facts["warm_after"]:
             host.cold_from = None
         share = self.cold_share(host)
@@ -575,28 +536,24 @@
             host.probe_at = self.now + PROBE_EVERY * self.draw(0.9, 1.1)
             self.orders.append(our.Probe(host.id))
 
-    # Orders for all, the channel, time.
-
     def watch_room(self):
-        """The share let in, once a round, since an order's effect is heard no sooner. Refused clients cost
-        nothing; storms feed on tries that were let in and failed."""
-        if self.now < self.level_at:
-            return
+        """The share let in. Refused clients cost nothing; storms feed on tries let in that failed."""
         # Few tries a host are enough: when little is let in, nothing else would ever tell that all is well.
         heard = [h for h in self.hosts.values() if h.usable and h.tries >= 0.5]
-        if len(heard) < 3 or not all(self.may_write(p, 0.7) for p in self.joined):
+        if self.now < self.level_at or len(heard) < 3 or not all(self.may_write(p, 0.7) for p in self.joined):
             return
         self.level_at = self.now + 0.8
-        bad = self.middle_try(heard, lambda h: h.bad / h.tries)
-        late = self.middle_try(heard, lambda h: h.mean_time) / self.mean_target()
-        load = self.middle_try(heard, lambda h: h.load)
-        # What fails or is late while hosts have room is no want of room: a way, answers that get lost, callers
-        # in a hurry; or, right after a cut, what was sent before it. Load reports are newer.
+        # What the middle try met: cold hosts that are given little say nothing of the room that is left.
+        met = [h for h in heard for _ in range(ceil(h.tries))]
+        bad, load = middle([h.bad / h.tries for h in met]), middle([h.load for h in met])
+        late = middle([h.mean_time for h in met]) / self.mean_target()
+        # What fails or is late while hosts have room is no want of room: answers that get lost, callers in a
+        # hurry; or, right after a cut, what was sent before it. Load reports are newer.
         told = "util" in self.facts["report_fields"]
         over = load < 0.6 and (told or self.cutting)
         if (bad > BAD_MUCH or late > LATE_MUCH or load > FULL) and not over:
-            # Full queues hold work whose clients have gone: little is let in until it is done, once two rounds
-            # tell so: sums that a stall held back all come at once and look like a storm.
+            # Full queues hold work whose clients have gone: little is let in until it is done. Two rounds
+            # must tell so: sums that a stall held back look like a storm.
             storm = bad > 3 * BAD_MUCH or late > 2 * LATE_MUCH
             grave = storm and self.stormy
             if grave or not self.cutting:
@@ -608,24 +565,13 @@
             self.cutting, self.stormy, self.strain_heard = True, storm, late + bad
             self.level_at += 1.0 if grave else 0.0
         elif over and self.room <= LEAST_LET_IN or late < 0.7 * LATE_MUCH and load < FULL:
-            # Back fast to what was surely carried; past it slowly, or a tenth of the way that reports
-            # tell, since they lag: a second storm costs more than the wait.
+            # Back fast to what was surely carried; past it slowly, since reports lag and storms cost more.
             more = FULL / max(0.4, load) if told else LATE_MUCH / max(0.1, late)
             past = max(REGAIN_PAST, self.room * (more - 1) / 10)
             self.room, self.cutting = min(1.0, max(self.edge, self.room + past)), False
             self.stormy, self.strain_heard = False, 0.0
         self.order_levels()
 
-    @staticmethod
-    def middle_try(hosts, value):
-        """What the middle try met: cold hosts that are given little say nothing of the room that is left."""
-        half, found = sum(h.tries for h in hosts) / 2, 0.0
-        for host in sorted(hosts, key=value):
-            found, half = value(host), half - host.tries
-            if half <= 0:
-                break
-        return found
-
     def work_of_kinds(self):
         """What a kind's reqs cost is not told: its response target stands in for its work."""
         return [n * k["response_target"] for n, k in zip(self.reqs, self.facts["req_kinds"])]
@@ -642,8 +588,7 @@
         first, shed, levels = cost.index(min(cost)), sum(work) * (1 - self.room), [self.room] * len(kinds)
         if cost[first] < 1:
             taken = min(shed, work[first] * (1 - LEAST_OF_ONE))
-            rest = max(1e-9, sum(work) - work[first])
-            levels = [1 - (shed - taken) / rest] * len(kinds)
+            levels = [1 - (shed - taken) / max(1e-9, sum(work) - work[first])] * len(kinds)
             levels[first] = 1 - taken / work[first]
         levels = [round(max(LEAST_OF_ONE, level), 2) for level in levels]
         # A second try after a refusal finds a host with room while there is one; in a storm it is the storm.
@@ -658,10 +603,10 @@
 
     def on_timer(self, event):
         self.orders.append(our.SetTimer(0, TICK))
-        if self.watch_at is not None and self.now >= self.watch_at:
-            self.watch_at = None
+        if self.now >= self.watch_at:
+            self.watch_at = float("inf")
             self.orders.append(our.WatchRoster(True))
-        if self.round_at is not None and self.now - self.round_at >= ROUND_WAIT:
+        if self.now - self.round_at >= ROUND_WAIT:
             self.end_round()
         for host in self.hosts.values():
             self.tend(host)
