--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -9,7 +9,7 @@
 
 Beside the design stand these mechanisms:
  1. channel   what waits and what each proxy was written is counted; what can be put off waits for room
- 2. zones     where kinds are open to unlike zones, shard sizes fill all zones alike with least crossing
+ 2. zones     shard sizes fill all zones alike with least crossing; a zone behind a bad way is left
  3. cold      a started host's planned load stays under a part of what pushes it over
  4. admission no try that could take effect twice; less of what earns least when the fleet has no room
  5. doubt     sums and probes convict a host only against its peers: dropped if it fails, relieved if slow
@@ -24,8 +24,7 @@
 from . import interface as our
 
 COVERAGE, LEAST_A_ZONE = 25.0, 1  # shards of this steward's proxies that each host should sit in; hosts
-FIRST_SHARE = 0.25  # part of its weight that a new or returning host starts with
-RAMP, STEP = 10.0, 0.25  # seconds from there to the full weight, in steps of this part of it
+FIRST_SHARE, RAMP, STEP = 0.25, 10.0, 0.25  # of the weight, at a start; seconds to the full one, in steps
 GROW_WAIT = RAMP * STEP / (1 - FIRST_SHARE)
 STRAIN_GAP, FIRST_REGAIN = 5.0, 10.0  # until relief is heard; a slow host's first wait, doubled each time
 QUIET_WAIT, LONGEST_WAIT = 10.0, 60.0  # a dropped member's first wait, doubled each time that it fails again
@@ -117,14 +116,13 @@
             our.ReqSums: self.on_req_sums}
 
     def decide(self, now, events):
-        first, self.now, self.orders = self.now is None, now, []
-        if first:
+        self.now, self.orders = now, []
+        if self.levels is None:
             self.orders.append(our.SetTimer(0, TICK))
             self.order_levels()
         for event in events:
             self.handlers.get(type(event), lambda _: None)(event)
         if self.now >= self.plan_at and self.hosts and self.joined:
-            self.plan_at = self.now + PLAN_EVERY
             self.keep_plan()
         self.bind_waiting()
         self.remove_lost()
@@ -159,8 +157,8 @@
         return blake2b(host.name, digest_size=8, salt=proxy.number.to_bytes(2, "big")).digest()
 
     def plan_zones(self):
-        """By group and zone of proxies, the part of their reqs for each zone: all hosts alike full, none crosses
-        that need not. Other stewards' proxies are taken to be like its own, spread as hosts are."""
+        """By group and zone of proxies, their reqs' parts by zone: all hosts alike full, none crosses that
+        need not. Other stewards' proxies are taken to be like its own, spread as hosts are."""
         work, brought, plan, rooms = self.work_of_kinds(), {}, {}, []
         for proxy in self.joined:
             brought[proxy.zone] = brought.get(proxy.zone, 0.0) + max(0.1, proxy.rate)
@@ -180,8 +178,7 @@
                 rooms.append((sum(room.values()), group, room, sum(work[k] for k in kinds) / sum(work)))
         for _, group, room, part in sorted(rooms, key=lambda r: r[:2]):
             home = {z: max(0.0, min(brought.get(z, 0.0) * part, left[z])) for z in room}
-            spare = {z: max(0.0, left[z] - home[z]) for z in room}
-            spare = spare if sum(spare.values()) > 1e-6 else room
+            spare = {z: max(1e-6 * room[z], left[z] - home[z]) for z in room}
             away = (sum(brought.values()) * part - sum(home.values())) / sum(spare.values())
             for zone in room:
                 left[zone] -= home[zone] + spare[zone] * away
@@ -192,8 +189,8 @@
         return plan
 
     def keep_plan(self):
-        """Sizes hold while the plan wavers: changes reopen connections. Few holders load a part of a zone
-        unevenly: zones are whole there, unless proxies even it out or kinds differ."""
+        """Where few holders would load a part of a zone unevenly, zones stay whole; sizes ignore wavering."""
+        self.plan_at = self.now + PLAN_EVERY
         if (len(self.group_open) < 2 and self.facts.get("pick") != "lighter of two"
                 and (self.holders < COVERAGE or self.facts.get("price_of_crossing", 0.0) < HOME_WORTH)):
             return
@@ -225,8 +222,7 @@
         shard, zones = self.shard(proxy, group)
         members = [h for chosen in shard.values() for h in chosen if h.usable]
         eased = [h for h in members if proxy.number not in h.spared]
-        if len(eased) * 2 >= len(members):
-            members = eased
+        members = eased if len(eased) * 2 >= len(members) else members
         if self.chilly(members):
             warm = {z: [h for h in hosts if h.usable and h.cold_from is None] for z, hosts in zones.items()}
             own = [h for h in warm.get(proxy.zone, []) if h not in members]
@@ -249,10 +245,9 @@
         self.dirty.discard(proxy.number)
 
     def set_line(self, proxy, group, host, weight):
+        proxy.lines[group].pop(host, None)
         if weight:
             proxy.lines[group][host] = weight
-        else:
-            proxy.lines[group].pop(host, None)
         self.orders.append(our.SetLine(proxy.first_table + group, host, weight))
         if proxy.bound:
             self.book(proxy, 1)
@@ -307,8 +302,8 @@
             self.watch_at = self.now + self.draw(0.5, 1.5)
             return
         listed = {m.host for m in event.members}
-        for host in self.hosts.values():
-            if event.scope != "changes" and host.id not in listed and not self.answers_still(host):
+        for host in self.hosts.values() if event.scope != "changes" else ():
+            if host.id not in listed and not self.answers_still(host):
                 host.phase = "gone"
         for member in event.members:
             self.take_member(member)
@@ -379,9 +374,8 @@
             return host.step
         if self.tight and self.facts.get("fails_to_shun"):
             return 0.0
-        first, warm_after = self.facts["cold_share"], self.facts["warm_after"]
-        age = min(1.0, (self.now - host.cold_from) / warm_after)
-        most = COLD_PART * self.facts["tip_multiple"] * (first + (1 - first) * age)
+        first, age = self.facts["cold_share"], (self.now - host.cold_from) / self.facts["warm_after"]
+        most = COLD_PART * self.facts["tip_multiple"] * (first + (1 - first) * min(1.0, age))
         return max((s for s in COLD_STEPS if s <= min(host.step, most)), default=0.0)
 
     def on_joined(self, event):
@@ -431,7 +425,6 @@
 
     def watch_ways(self):
         """A way on which even quick hosts answer far later than at home is bad itself: left for a while."""
-        near = self.far
         for zone in {p.zone: 0 for p in self.joined}:
             times = {}
             for host in self.hosts.values():
@@ -450,7 +443,7 @@
         for way in [way for way in self.far if way[0] == self.facts["zone"]]:
             if middle([h.probes_bad for h in self.hosts.values() if h.zone == way[1]]) > 0.5:
                 self.ways[way] = max(self.ways[way][0], self.now + 2 * self.cycle), self.ways[way][1]
-        self.far = {way for way, (until, _) in self.ways.items() if self.now < until}
+        near, self.far = self.far, {way for way, (until, _) in self.ways.items() if self.now < until}
         if self.far != near:
             self.all_dirty()
 
@@ -459,7 +452,7 @@
             self.reqs[event.kind] += event.reqs
         proxy = self.proxies.get(event.proxy)
         if proxy and event.span:
-            heard = proxy.heard.setdefault(event.kind, event.reqs / event.span)
+            heard = proxy.heard.get(event.kind, event.reqs / event.span)
             proxy.heard[event.kind] = heard + (event.reqs / event.span - heard) / 3
             proxy.rate = sum(proxy.heard.values())
 
@@ -502,15 +495,13 @@
                     host.regain_at = self.now  # its part drowns others by now
 
     def drop(self, host, ready, by_probe):
-        """Never so many that the rest could not carry the load, whatever the evidence."""
         if sum(not h.usable for h in ready) + 1 > len(ready) * 0.4:
-            return
-        self.lost = True
+            return  # the rest could not carry the load, whatever the evidence
         host.strikes = host.strikes + 1 if self.now - host.returned_at <= 30 else 1
-        host.out_by_probe, host.probe_passes = by_probe, 0
+        host.out_by_probe, host.probe_passes, self.lost = by_probe, 0, True
         host.out_until = self.now + min(LONGEST_WAIT, QUIET_WAIT * 2 ** (host.strikes - 1))
-        why = f"probes {host.probe_fails}" if by_probe else f"sums {host.bad:.1f} of {host.tries:.1f}"
-        self.orders.append(our.LogLine(f"host {host.id} dropped: {why}"))
+        bad = f"probes {host.probe_fails}, sums {host.bad:.1f} of {host.tries:.1f}"
+        self.orders.append(our.LogLine(f"host {host.id} dropped: {bad}"))
 
     def tend(self, host):
         """What time alone brings a host: its return, its next step, its next probe."""
@@ -537,7 +528,6 @@
             self.orders.append(our.Probe(host.id))
 
     def watch_room(self):
-        """The share let in. Refused clients cost nothing; storms feed on tries let in that failed."""
         # Few tries a host are enough: when little is let in, nothing else would ever tell that all is well.
         heard = [h for h in self.hosts.values() if h.usable and h.tries >= 0.5]
         if self.now < self.level_at or len(heard) < 3 or not all(self.may_write(p, 0.7) for p in self.joined):
@@ -581,20 +571,19 @@
 
     def order_levels(self):
         """The kind that loses least for the work saved goes first, if that beats refusing all alike."""
-        kinds, work = self.facts["req_kinds"], self.work_of_kinds()
-        gain = [n * k["gain"] for n, k in zip(self.reqs, kinds)]
-        worst = self.facts.get("value_of_worst_kind", 0.0)
+        work, worst = self.work_of_kinds(), self.facts.get("value_of_worst_kind", 0.0)
+        gain = [n * k["gain"] for n, k in zip(self.reqs, self.facts["req_kinds"])]
         cost = [((1 - worst) * g / sum(gain) + worst) * sum(work) / w for g, w in zip(gain, work)]
-        first, shed, levels = cost.index(min(cost)), sum(work) * (1 - self.room), [self.room] * len(kinds)
+        first, shed, levels = cost.index(min(cost)), sum(work) * (1 - self.room), [self.room] * len(work)
         if cost[first] < 1:
             taken = min(shed, work[first] * (1 - LEAST_OF_ONE))
-            levels = [1 - (shed - taken) / max(1e-9, sum(work) - work[first])] * len(kinds)
+            levels = [1 - (shed - taken) / max(1e-9, sum(work) - work[first])] * len(work)
             levels[first] = 1 - taken / work[first]
-        levels = [round(max(LEAST_OF_ONE, level), 2) for level in levels]
         # A second try after a refusal finds a host with room while there is one; in a storm it is the storm.
-        wanted = [(level, "never" if self.tight else "unstarted") for level in levels]
+        retry = "never" if self.tight else "unstarted"
+        wanted = [(round(max(LEAST_OF_ONE, level), 2), retry) for level in levels]
         if wanted != self.levels:
-            self.orders.append(our.LogLine(f"levels {levels}"))
+            self.orders.append(our.LogLine(f"levels {[level for level, _ in wanted]}"))
             self.orders += [our.Admit(None, (at,), *new) for at, new in enumerate(wanted)
                             if not self.levels or new != self.levels[at]]
             self.levels = wanted
@@ -620,8 +609,8 @@
 
     def has_room(self, part=0.4):
         """On some days the channel is slower than told: half its pace is what is counted on."""
-        spent = (self.now - self.queue_at) * self.facts["channel_rate"] / 2
-        self.queue, self.queue_at = max(0.0, self.queue - spent), self.now
+        spent, self.queue_at = (self.now - self.queue_at) * self.facts["channel_rate"] / 2, self.now
+        self.queue = max(0.0, self.queue - spent)
         return self.queue < part * self.facts["queue_most"]
 
     def book(self, proxy, lines):
