--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -24,8 +24,7 @@
 from . import interface as our
 
 COVERAGE, LEAST_A_ZONE = 25.0, 1  # shards of this steward's proxies that each host should sit in; hosts
-FIRST_SHARE, RAMP, STEP = 0.25, 10.0, 0.25  # of the weight, at a start; seconds to the full one, in steps
-GROW_WAIT = RAMP * STEP / (1 - FIRST_SHARE)
+FIRST_SHARE, STEP, GROW_WAIT = 0.25, 0.25, 10 / 3  # of the weight, at a start; each step, and its seconds
 STRAIN_GAP, FIRST_REGAIN = 5.0, 10.0  # until relief is heard; a slow host's first wait, doubled each time
 QUIET_WAIT, LONGEST_WAIT = 10.0, 60.0  # a dropped member's first wait, doubled each time that it fails again
 FAR_MUCH = 0.3  # of the response target: later than at home, on the whole of a way
@@ -51,8 +50,8 @@
 class Host:
     """All that is known of one host."""
 
-    def __init__(self, member, now):
-        self.id, self.name = member.host, member.name
+    def __init__(self, member, now, proved):
+        self.id, self.name, self.proved = member.host, member.name, proved
         self.zone, self.machine = member.zone, member.machine
         self.phase, self.started_at = "gone", None  # so that one listed ready counts as starting
         self.cold_from = None  # when its current cold start began, as far as is known
@@ -80,7 +79,7 @@
 
     @property
     def usable(self):
-        return self.phase == "ready" and self.out_until is None
+        return self.phase == "ready" and self.out_until is None and self.proved
 
 
 class Proxy:
@@ -101,12 +100,11 @@
         self.hosts, self.proxies, self.orders = {}, {}, []
         self.group_open = self.group_kinds()
         self.holders = max(1.0, settings.get("proxies", 1) / max(1, settings.get("stewards", 1)))
-        self.now, self.listed = None, False
         self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else float("inf")
-        self.queue = self.queue_at = self.stage_at = 0.0
+        self.queue = self.queue_at = self.stage_at = self.restate_at = 0.0
         self.rounds, self.round_at, self.reqs = 0, float("inf"), [1.0] * len(settings["req_kinds"])
         self.room, self.edge, self.strain_heard, self.level_at, self.levels = 1.0, 1.0, 0.0, 0.0, None
-        self.cutting = self.stormy = self.tight = self.sunk = self.lost = False
+        self.cutting = self.stormy = self.tight = self.sunk = self.lost = self.listed = False
         self.dirty, self.plan, self.plan_at = set(), {}, 0.0
         self.cycle = settings.get("sums_every", 1.0)  # seconds between two sums of one host, about
         self.ways, self.far = {}, set()  # (zone of proxies, of hosts): until when bad and the wait; those now
@@ -168,9 +166,9 @@
         for zone in unseen:
             brought[zone] = brought.get(zone, 0.0) + each
         part = sum(brought.values()) / max(1e-9, sum(h.weight * h.share for h in hosts))
-        left = {zone: 0.0 for zone in brought}  # of what each zone should take
+        left = {host.zone: 0.0 for host in self.hosts.values()}  # of what each zone should take
         for host in hosts:
-            left[host.zone] = left.get(host.zone, 0.0) + host.weight * host.share * part
+            left[host.zone] += host.weight * host.share * part
         for group, ((_, _, own_zone), kinds) in enumerate(self.group_open):
             room = {zone: sum(h.weight * h.share for h in members if h.usable)
                     for zone, members in self.open_hosts(group, None).items()}
@@ -260,13 +258,22 @@
         groups = range(len(self.group_open))
         for proxy in sorted(waiting, key=lambda p: all(p.zone in self.open_hosts(g, p.zone) for g in groups)):
             if not self.has_room():
-                return
+                break
             self.write_table(proxy)
             proxy.bound = True
             for group, (_, kinds) in enumerate(self.group_open):
                 self.orders.append(our.BindTable(proxy.number, proxy.first_table + group, tuple(kinds)))
                 self.book(proxy, 1 + len(proxy.lines[group]) + len(self.facts["req_kinds"]))
 
+        # What a waiting proxy brought may name hosts that went while it was away: withdrawals are told again.
+        untold = [p for p in self.joined if not (p.bound or p.told)]
+        if untold and self.now >= self.restate_at:
+            self.restate_at = self.now + self.facts["drain_grace"] / 4
+            self.orders += [our.Withdraw(h.id, True) for h in self.hosts.values() if h.withdrawn]
+            for proxy in untold:
+                proxy.told = True
+                self.book(proxy, self.facts.get("standing", 0))
+
     def remove_lost(self):
         """Hosts that drain, went or were dropped leave every table at once: their reqs are lost reqs."""
         lost, self.lost = self.lost, False
@@ -275,7 +282,7 @@
                 gone = [h for h in lines if not self.hosts[h].usable]
                 for host in gone:
                     self.set_line(proxy, group, host, 0.0)
-                # Cold hosts must not get what the lost ones had: the table is written anew, if there is room.
+                # Cold hosts must not get what the lost ones had: written anew, if there is room.
                 if gone and self.chilly([self.hosts[h] for h in lines]) and self.has_room():
                     self.write_table(proxy)
 
@@ -284,8 +291,7 @@
         if not self.dirty or (self.now < self.stage_at and not self.sunk):
             return
         part = 0.8 if self.sunk else 0.5  # of its messages
-        changed = [self.proxies[number] for number in sorted(self.dirty)]
-        waiting = [p for p in changed if p.bound and self.may_write(p, part)]
+        waiting = [p for p in self.joined if p.number in self.dirty and p.bound and self.may_write(p, part)]
         self.shuffle(waiting)
         # A cold host's part that must sink is as urgent as a removal.
         some, self.sunk = len(waiting) if self.sunk else ceil(len(self.proxies) / STAGES), False
@@ -314,9 +320,8 @@
         self.all_dirty()
 
     def take_member(self, member):
-        if member.host not in self.hosts:
-            self.hosts[member.host] = Host(member, self.now)
-        host = self.hosts[member.host]
+        new = Host(member, self.now, not self.listed)
+        host = self.hosts.setdefault(member.host, new)
         if member.phase == "gone" and self.answers_still(host):
             return
         back = member.phase == "ready" and (host.phase != "ready" or member.started_at != host.started_at)
@@ -326,13 +331,14 @@
         host.out_until, host.probe_fails = None, 0
         host.clear_evidence(self.now)
         host.cold_from = host.started_at if self.now - host.started_at < self.facts["warm_after"] else None
+        host.proved |= not self.facts.get("probing")
         if self.listed or host.cold_from is not None:
             self.start_ramp(host)
 
     def answers_still(self, host):
         """A list that may be wrong must not empty tables of hosts that answer; doubt finds the dead."""
         return (self.facts.get("gone_is_advice") and host.phase == "ready"
-                and self.now - host.good_at < 4 * self.facts["sums_every"])
+                and self.now - host.good_at < 2 * (self.cycle + self.facts["sums_every"]))
 
     def withdraw(self, host, on):
         host.withdrawn = on
@@ -356,7 +362,7 @@
         self.set_reach(host, host.reach - STEP)
 
     def set_reach(self, host, reach):
-        """Of its holders, by what they bring, those that rank the host lowest do without it."""
+        """Of its holders, by what they bring, those that rank it lowest do without it."""
         host.reach, host.regain_at = reach, self.now + host.regain_wait
         holders = [p for p in self.joined if p.number in host.spared or any(host.id in li for li in p.lines)]
         spare, host.spared = (1 - reach) * sum(p.rate for p in holders), set()
@@ -379,19 +385,15 @@
         return max((s for s in COLD_STEPS if s <= min(host.step, most)), default=0.0)
 
     def on_joined(self, event):
-        if event.proxy not in self.proxies:
-            groups = len(self.group_open)
-            self.proxies[event.proxy] = Proxy(event.proxy, groups, groups * len(self.proxies))
-        proxy, self.plan_at = self.proxies[event.proxy], self.now
-        proxy.zone, proxy.rate, proxy.joined, proxy.bound = event.zone, event.rate, True, False
+        new = Proxy(event.proxy, len(self.group_open), len(self.group_open) * len(self.proxies))
+        proxy = self.proxies.setdefault(event.proxy, new)
+        self.plan_at = self.now
+        proxy.zone, proxy.rate, proxy.joined = event.zone, event.rate, True
+        proxy.bound = proxy.told = False
         proxy.sent.clear()
         # What it brings was laid by somebody who knew more; but all its lines may be withdrawn by now.
-        keep = 0.0 if event.standing_only or self.rounds >= ROUNDS_HEARD else (
-            self.facts["bare_most"] - self.facts["push_delay_most"]) / 2
-        proxy.hold_until = self.now + max(0.0, keep)
-        for host in self.hosts.values() if keep else ():
-            if host.withdrawn:
-                self.withdraw(host, True)
+        hold = max(0.0, self.facts["bare_most"] - self.facts["push_delay_most"]) / 2
+        proxy.hold_until = self.now + hold * (not event.standing_only)
 
     def on_left(self, event):
         if event.proxy in self.proxies:
@@ -463,13 +465,17 @@
         host.take_report(event.report)
         failed = event.outcome != "ok"
         host.probes_bad += (failed - host.probes_bad) / 4
+        # A list may name hosts that are none: one that comes later stays out until it passed a probe.
+        if not failed and not host.proved:
+            host.proved = True
+            self.all_dirty()
         host.probe_passes = 0 if failed else host.probe_passes + 1
         host.probe_fails = host.probe_fails + 1 if failed else 0
         if failed:
             host.probe_at = min(host.probe_at, self.now + PROBE_AGAIN)
 
     def judge(self):
-        ready = [h for h in self.hosts.values() if h.phase == "ready"]
+        ready = [h for h in self.hosts.values() if h.phase == "ready" and h.proved]
         heard = [h for h in ready if h.usable and h.tries >= 2]
         usual_bad, usual_load = middle([h.bad / h.tries for h in heard]), middle([h.load for h in heard])
         usual_time, target = middle([h.mean_time for h in heard]), self.mean_target()
@@ -478,9 +484,8 @@
         # A deep probe times out at a busy host: more must fail in a row than chance does at the middle one.
         fails = max(3.0, log(0.001) / log(min(0.8, max(0.01, middle([h.probes_bad for h in ready])))))
         for host in [h for h in ready if h.usable]:
-            tried_from = self.ways.get((self.facts["zone"], host.zone), (-1e9,))[0]
-            silent = self.now - max(host.good_at, tried_from) > 1.3 * self.cycle
-            if silent and host.probe_fails >= fails:
+            tried_from = max(host.good_at, self.ways.get((self.facts["zone"], host.zone), (-1e9,))[0])
+            if self.now - tried_from > 1.3 * self.cycle and host.probe_fails >= fails and host.bad > 0.5:
                 self.drop(host, ready, True)
             elif host in heard:
                 time, part = host.mean_time, host.bad / host.tries
@@ -500,8 +505,7 @@
         host.strikes = host.strikes + 1 if self.now - host.returned_at <= 30 else 1
         host.out_by_probe, host.probe_passes, self.lost = by_probe, 0, True
         host.out_until = self.now + min(LONGEST_WAIT, QUIET_WAIT * 2 ** (host.strikes - 1))
-        bad = f"probes {host.probe_fails}, sums {host.bad:.1f} of {host.tries:.1f}"
-        self.orders.append(our.LogLine(f"host {host.id} dropped: {bad}"))
+        self.orders.append(our.LogLine(f"host {host.id} dropped: {'probes' if by_probe else 'sums'}"))
 
     def tend(self, host):
         """What time alone brings a host: its return, its next step, its next probe."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -90,6 +90,23 @@
         made.facts["fails_to_shun"], made.tight = 3, True
         self.assertEqual(made.cold_share(host), 0.0)
 
+    def test_a_host_that_the_list_names_late_stays_out_until_it_passed_a_probe(self):
+        made = planner()
+        made.decide(101.0, [our.Roster("changes", 2, (member(70),))])
+        self.assertNotIn(70, made.table(made.proxies[0], 0))
+        made.on_probe(our.ProbeResult(70, "errored", 0.01, None))
+        self.assertFalse(made.hosts[70].usable)
+        made.on_probe(our.ProbeResult(70, "ok", 0.01, None))
+        self.assertTrue(made.hosts[70].usable)
+
+    def test_binds_wait_for_room_and_a_waiting_proxy_is_told_withdrawals_again(self):
+        made = planner()
+        made.decide(101.0, [our.Roster("changes", 2, (member(3, 1, "draining"),))])
+        made.queue = made.queue_at = made.facts["queue_most"]
+        orders = made.decide(made.queue_at, [our.ProxyJoined(9, 0, 10.0, True)])
+        self.assertFalse(of_type(orders, our.BindTable))
+        self.assertIn(our.Withdraw(3, True), orders)
+
     def test_what_can_be_put_off_waits_once_a_proxy_had_half_its_messages(self):
         made = planner(messages_most=20)
         proxy = made.proxies[0]
@@ -144,6 +161,12 @@
 
 
 class Zones(unittest.TestCase):
+    def test_a_zone_without_a_usable_host_is_planned_around(self):
+        made = planner(pick="lighter of two")
+        for host in made.hosts.values():
+            host.out_until = 1e9 if host.zone else None
+        self.assertTrue(made.plan_zones())
+
     def test_a_zone_whose_every_host_is_far_later_than_home_is_left_for_a_while(self):
         made = planner()
         for host in made.hosts.values():
@@ -161,6 +184,27 @@
 
 
 class Doubt(unittest.TestCase):
+    def test_sums_from_before_a_start_are_no_news_of_the_new_process(self):
+        made = planner()
+        made.decide(101.0, [our.Roster("changes", 2, (member(3, 1, started_at=100.9),))])
+        made.on_host_sums(our.HostSums(3, 0, 9, 9, 4.0, 0.0, None))
+        self.assertFalse(made.hosts[3].sums)
+
+    def test_a_capped_line_stands_as_long_as_the_time_to_the_next(self):
+        made = planner()
+        made.cycle = 5.0
+        made.on_host_sums(our.HostSums(2, 0, 10, 0, 5.0, 0.1, None))
+        made.now += 2.0
+        made.end_round()
+        self.assertGreater(made.hosts[2].tries, 5.0)
+
+    def test_relief_is_drawn_among_a_hosts_holders(self):
+        made = planner(proxies=8)
+        for number in range(4):
+            made.proxies[number].lines[0].pop(1)
+        made.set_reach(made.hosts[1], 0.5)
+        self.assertTrue(made.hosts[1].spared and made.hosts[1].spared <= {4, 5, 6, 7})
+
     def test_a_host_that_fails_against_its_peers_is_dropped_and_a_shared_fault_drops_nobody(self):
         made = planner()
         for host in made.hosts.values():
@@ -178,7 +222,7 @@
         made.now = 110.0
         for host in made.hosts.values():
             host.good_at = 109.5
-        made.hosts[2].probe_fails = made.hosts[3].probe_fails = 4
+        made.hosts[2].probe_fails = made.hosts[3].probe_fails = made.hosts[3].bad = 4
         made.hosts[3].good_at = 105.0
         made.judge()
         self.assertEqual([h.id for h in made.hosts.values() if not h.usable], [3])
