--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -337,7 +337,7 @@
 
     def answers_still(self, host):
         """A list that may be wrong must not empty tables of hosts that answer; doubt finds the dead."""
-        return (self.facts.get("gone_is_advice") and host.phase == "ready"
+        return (self.facts.get("gone_is_advice") and host.phase == "ready" and not host.probe_fails
                 and self.now - host.good_at < 2 * (self.cycle + self.facts["sums_every"]))
 
     def withdraw(self, host, on):
