--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -3,9 +3,8 @@
     planner = Planner(settings, seed)
     orders = planner.decide(now, events)
 
-`settings` is a plain map of names to values, `now` float seconds, events and orders the types of
-peatlead/interface.py; nothing else is read and nothing else is kept. The ordinary path is the design's:
-each proxy's own table holds its hashed, zone-spread shard of hosts at listed weights (docs/design.md).
+`settings` is a plain map of names to values, `now` float seconds; events and orders: peatlead/interface.py.
+The ordinary path is the design's: each proxy's table is its hashed, zone-spread shard (docs/design.md).
 
 Beside the design stand these mechanisms:
  1. channel   what waits and what each proxy was written is counted; what can be put off waits for room
@@ -95,8 +94,7 @@
 class Planner:
     def __init__(self, settings, seed):
         self.facts = settings
-        rng = Random(seed)
-        self.draw, self.shuffle = rng.uniform, rng.shuffle
+        self.draw, self.shuffle = (rng := Random(seed)).uniform, rng.shuffle
         self.hosts, self.proxies, self.orders = {}, {}, []
         self.group_open = self.group_kinds()
         self.holders = max(1.0, settings.get("proxies", 1) / max(1, settings.get("stewards", 1)))
@@ -255,8 +253,9 @@
         standing tables, drawn in their zone, may lack a line for some kind."""
         waiting = [p for p in self.joined if not p.bound and self.hosts and (
             self.now >= p.hold_until or self.rounds >= ROUNDS_HEARD)]
-        groups = range(len(self.group_open))
-        for proxy in sorted(waiting, key=lambda p: all(p.zone in self.open_hosts(g, p.zone) for g in groups)):
+        covered = {zone: all(zone in self.open_hosts(g, zone) for g in range(len(self.group_open)))
+                   for zone in {p.zone: 0 for p in waiting}}
+        for proxy in sorted(waiting, key=lambda p: covered[p.zone]):
             if not self.has_room():
                 break
             self.write_table(proxy)
@@ -264,7 +263,6 @@
             for group, (_, kinds) in enumerate(self.group_open):
                 self.orders.append(our.BindTable(proxy.number, proxy.first_table + group, tuple(kinds)))
                 self.book(proxy, 1 + len(proxy.lines[group]) + len(self.facts["req_kinds"]))
-
         # What a waiting proxy brought may name hosts that went while it was away: withdrawals are told again.
         untold = [p for p in self.joined if not (p.bound or p.told)]
         if untold and self.now >= self.restate_at:
@@ -282,9 +280,8 @@
                 gone = [h for h in lines if not self.hosts[h].usable]
                 for host in gone:
                     self.set_line(proxy, group, host, 0.0)
-                # Cold hosts must not get what the lost ones had: written anew, if there is room.
                 if gone and self.chilly([self.hosts[h] for h in lines]) and self.has_room():
-                    self.write_table(proxy)
+                    self.write_table(proxy)  # cold hosts must not get what the lost ones had
 
     def publish_stage(self):
         """Deltas go to a tenth of the proxies at a time, so that a mistake is met by few at first."""
@@ -320,8 +317,7 @@
         self.all_dirty()
 
     def take_member(self, member):
-        new = Host(member, self.now, not self.listed)
-        host = self.hosts.setdefault(member.host, new)
+        host = self.hosts.setdefault(member.host, Host(member, self.now, not self.listed))
         if member.phase == "gone" and self.answers_still(host):
             return
         back = member.phase == "ready" and (host.phase != "ready" or member.started_at != host.started_at)
@@ -385,13 +381,13 @@
         return max((s for s in COLD_STEPS if s <= min(host.step, most)), default=0.0)
 
     def on_joined(self, event):
-        new = Proxy(event.proxy, len(self.group_open), len(self.group_open) * len(self.proxies))
+        groups, self.plan_at = len(self.group_open), self.now
+        new = Proxy(event.proxy, groups, groups * len(self.proxies))
         proxy = self.proxies.setdefault(event.proxy, new)
-        self.plan_at = self.now
         proxy.zone, proxy.rate, proxy.joined = event.zone, event.rate, True
         proxy.bound = proxy.told = False
         proxy.sent.clear()
-        # What it brings was laid by somebody who knew more; but all its lines may be withdrawn by now.
+        # What it brings was laid by one who knew more; but all its lines may be withdrawn by now.
         hold = max(0.0, self.facts["bare_most"] - self.facts["push_delay_most"]) / 2
         proxy.hold_until = self.now + hold * (not event.standing_only)
 
@@ -415,7 +411,7 @@
         host.take_report(event.report)
 
     def end_round(self):
-        self.rounds, self.round_at = self.rounds + 1, float("inf")
+        self.rounds, self.round_at, self.reqs = self.rounds + 1, float("inf"), [0.9 * n for n in self.reqs]
         self.watch_ways()
         # Fading is quick: a storm's many failures would outweigh the few good sums after it.
         for host in self.hosts.values():
@@ -450,8 +446,8 @@
             self.all_dirty()
 
     def on_req_sums(self, event):
-        if self.room >= 1.0:  # later, refused clients that come again would count for more than they ask
-            self.reqs[event.kind] += event.reqs
+        # Refused clients come again, once or so: a kind that is cut must not count for more than it asks.
+        self.reqs[event.kind] += event.reqs / (2 - self.levels[event.kind][0])
         proxy = self.proxies.get(event.proxy)
         if proxy and event.span:
             heard = proxy.heard.get(event.kind, event.reqs / event.span)
