--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -104,6 +104,7 @@
         self.room, self.edge, self.strain_heard, self.level_at, self.levels = 1.0, 1.0, 0.0, 0.0, None
         self.cutting = self.stormy = self.tight = self.sunk = self.lost = self.listed = False
         self.dirty, self.plan, self.plan_at = set(), {}, 0.0
+        self.met_bad, self.met_late, self.met_load, self.spread = 0.0, 0.0, 0.0, 1.0
         self.cycle = settings.get("sums_every", 1.0)  # seconds between two sums of one host, about
         self.ways, self.far = {}, set()  # (zone of proxies, of hosts): until when bad and the wait; those now
         self.handlers = {
@@ -220,9 +221,10 @@
         eased = [h for h in members if proxy.number not in h.spared]
         members = eased if len(eased) * 2 >= len(members) else members
         if self.chilly(members):
-            warm = {z: [h for h in hosts if h.usable and h.cold_from is None] for z, hosts in zones.items()}
+            everywhere = self.open_hosts(group, None).items()  # behind a bad way too
+            warm = {z: [h for h in hosts if h.usable and h.cold_from is None] for z, hosts in everywhere}
             own = [h for h in warm.get(proxy.zone, []) if h not in members]
-            members = members + (own or max(warm.values(), key=len, default=[]))
+            members = members + (own or [h for hosts in warm.values() for h in hosts if h not in members])
         # No doubt may leave a proxy without a line while the list shows hosts that run.
         members = members or [h for hosts in zones.values() for h in hosts]
         return {h.id: h.weight * h.share for h in members if h.share} or {h.id: h.weight for h in members}
@@ -377,7 +379,7 @@
         if self.tight and self.facts.get("fails_to_shun"):
             return 0.0
         first, age = self.facts["cold_share"], (self.now - host.cold_from) / self.facts["warm_after"]
-        most = COLD_PART * self.facts["tip_multiple"] * (first + (1 - first) * min(1.0, age))
+        most = self.spread * COLD_PART * self.facts["tip_multiple"] * (first + (1 - first) * min(1.0, age))
         return max((s for s in COLD_STEPS if s <= min(host.step, most)), default=0.0)
 
     def on_joined(self, event):
@@ -461,8 +463,8 @@
         host.take_report(event.report)
         failed = event.outcome != "ok"
         host.probes_bad += (failed - host.probes_bad) / 4
-        # A list may name hosts that are none: one that comes later stays out until it passed a probe.
-        if not failed and not host.proved:
+        # A list may name hosts that are none: one that comes late stays out until a probe found it there.
+        if event.outcome in ("ok", "timed out") and not host.proved:
             host.proved = True
             self.all_dirty()
         host.probe_passes = 0 if failed else host.probe_passes + 1
@@ -475,8 +477,12 @@
         heard = [h for h in ready if h.usable and h.tries >= 2]
         usual_bad, usual_load = middle([h.bad / h.tries for h in heard]), middle([h.load for h in heard])
         usual_time, target = middle([h.mean_time for h in heard]), self.mean_target()
-        strains = usual_load / 0.95, usual_time / target / LATE_MUCH, usual_bad / BAD_MUCH
-        self.tight = max(strains) > (0.8 if self.tight else 1.0) and usual_load > 0.7
+        # What the middle try met: cold hosts that are given little say nothing of the room that is left.
+        met = [h for h in self.hosts.values() if h.usable and h.tries >= 0.5 for _ in range(ceil(h.tries))]
+        self.met_bad, self.met_load = middle([h.bad / h.tries for h in met]), middle([h.load for h in met])
+        self.met_late = middle([h.mean_time for h in met]) / target
+        strain = max(self.met_load / 0.95, self.met_late / LATE_MUCH, self.met_bad / BAD_MUCH)
+        self.tight = strain > (0.8 if self.tight else 1.0) and self.met_load > 0.7
         # A deep probe times out at a busy host: more must fail in a row than chance does at the middle one.
         fails = max(3.0, log(0.001) / log(min(0.8, max(0.01, middle([h.probes_bad for h in ready])))))
         for host in [h for h in ready if h.usable]:
@@ -533,10 +539,7 @@
         if self.now < self.level_at or len(heard) < 3 or not all(self.may_write(p, 0.7) for p in self.joined):
             return
         self.level_at = self.now + 0.8
-        # What the middle try met: cold hosts that are given little say nothing of the room that is left.
-        met = [h for h in heard for _ in range(ceil(h.tries))]
-        bad, load = middle([h.bad / h.tries for h in met]), middle([h.load for h in met])
-        late = middle([h.mean_time for h in met]) / self.mean_target()
+        bad, load, late = self.met_bad, self.met_load, self.met_late
         # What fails or is late while hosts have room is no want of room: answers that get lost, callers in a
         # hurry; or, right after a cut, what was sent before it. Load reports are newer.
         told = "util" in self.facts["report_fields"]
@@ -597,6 +600,9 @@
             self.orders.append(our.WatchRoster(True))
         if self.now - self.round_at >= ROUND_WAIT:
             self.end_round()
+        ready = [h for h in self.hosts.values() if h.phase == "ready"]
+        held = sum(h.share for h in ready if h.usable) / max(1, len(ready))
+        self.spread = held if self.room < 1.0 or self.met_load > 0.7 else 1.0
         for host in self.hosts.values():
             self.tend(host)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -129,6 +129,7 @@
             made.now = max(made.now, made.level_at) + 1
             for host in made.hosts.values():
                 host.tries, host.bad, host.answer_time, host.load = 1.0, bad, 0.1, bad
+            made.judge()
             made.watch_room()
 
     def test_one_round_that_looks_like_a_storm_cuts_gently_and_two_cut_to_the_least(self):
@@ -156,6 +157,7 @@
         made = planner(report_fields=["util"])
         for host in made.hosts.values():
             host.tries, host.bad, host.answer_time, host.load = 10.0, 6.0, 9.0, 0.3
+        made.judge()
         made.watch_room()
         self.assertEqual(made.room, 1.0)
 
