--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -481,7 +481,7 @@
         met = [h for h in self.hosts.values() if h.usable and h.tries >= 0.5 for _ in range(ceil(h.tries))]
         self.met_bad, self.met_load = middle([h.bad / h.tries for h in met]), middle([h.load for h in met])
         self.met_late = middle([h.mean_time for h in met]) / target
-        strain = max(self.met_load / 0.95, self.met_late / LATE_MUCH, self.met_bad / BAD_MUCH)
+        strain = max(self.met_load / 0.9, self.met_late / LATE_MUCH, self.met_bad / BAD_MUCH)
         self.tight = strain > (0.8 if self.tight else 1.0) and self.met_load > 0.7
         # A deep probe times out at a busy host: more must fail in a row than chance does at the middle one.
         fails = max(3.0, log(0.001) / log(min(0.8, max(0.01, middle([h.probes_bad for h in ready])))))
