--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -42,8 +42,11 @@
 
 
 def middle(values):
-    """The middle one: a few bad hosts do not move it."""
-    return sorted(values)[len(values) // 2] if values else 0.0
+    return sorted(values)[len(values) // 2] if values else 0.0  # a few bad hosts do not move it
+
+
+def rank(proxy, host):
+    return blake2b(host.name, digest_size=8, salt=proxy.number.to_bytes(2, "big")).digest()
 
 
 class Host:
@@ -95,8 +98,7 @@
     def __init__(self, settings, seed):
         self.facts = settings
         self.draw, self.shuffle = (rng := Random(seed)).uniform, rng.shuffle
-        self.hosts, self.proxies, self.orders = {}, {}, []
-        self.group_open = self.group_kinds()
+        self.hosts, self.proxies, self.orders, self.group_open = {}, {}, [], self.group_kinds()
         self.holders = max(1.0, settings.get("proxies", 1) / max(1, settings.get("stewards", 1)))
         self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else float("inf")
         self.queue = self.queue_at = self.stage_at = self.restate_at = 0.0
@@ -104,7 +106,7 @@
         self.room, self.edge, self.strain_heard, self.level_at, self.levels = 1.0, 1.0, 0.0, 0.0, None
         self.cutting = self.stormy = self.tight = self.sunk = self.lost = self.listed = False
         self.dirty, self.plan, self.plan_at = set(), {}, 0.0
-        self.met_bad, self.met_late, self.met_load, self.spread = 0.0, 0.0, 0.0, 1.0
+        self.met, self.spread = (0.0, 0.0, 0.0, 0), 1.0
         self.cycle = settings.get("sums_every", 1.0)  # seconds between two sums of one host, about
         self.ways, self.far = {}, set()  # (zone of proxies, of hosts): until when bad and the wait; those now
         self.handlers = {
@@ -149,10 +151,6 @@
         near = {z: hosts for z, hosts in found.items() if (zone, z) not in self.far}
         return near or found
 
-    @staticmethod
-    def rank(proxy, host):
-        return blake2b(host.name, digest_size=8, salt=proxy.number.to_bytes(2, "big")).digest()
-
     def plan_zones(self):
         """By group and zone of proxies, their reqs' parts by zone: all hosts alike full, none crosses that
         need not. Other stewards' proxies are taken to be like its own, spread as hosts are."""
@@ -201,7 +199,7 @@
     def shard(self, proxy, group):
         """A rank has no memory: every steward gives a proxy the same shard, a new list moves few lines."""
         if len(proxy.ranked) != len(self.hosts):
-            proxy.ranked = sorted(self.hosts.values(), key=lambda h: self.rank(proxy, h))
+            proxy.ranked = sorted(self.hosts.values(), key=lambda h: rank(proxy, h))
         zones = self.open_hosts(group, proxy.zone, proxy.ranked)
         parts = self.plan.get((group, proxy.zone), {})
         asked = {z: parts.get(z, 0.0 if parts else 1.0) * len(members) for z, members in zones.items()}
@@ -221,10 +219,9 @@
         eased = [h for h in members if proxy.number not in h.spared]
         members = eased if len(eased) * 2 >= len(members) else members
         if self.chilly(members):
-            everywhere = self.open_hosts(group, None).items()  # behind a bad way too
-            warm = {z: [h for h in hosts if h.usable and h.cold_from is None] for z, hosts in everywhere}
-            own = [h for h in warm.get(proxy.zone, []) if h not in members]
-            members = members + (own or [h for hosts in warm.values() for h in hosts if h not in members])
+            everywhere = sum(self.open_hosts(group, None).values(), [])  # behind a bad way too
+            warm = [h for h in everywhere if h.usable and h.cold_from is None and h not in members]
+            members = members + ([h for h in warm if h.zone == proxy.zone] or warm)
         # No doubt may leave a proxy without a line while the list shows hosts that run.
         members = members or [h for hosts in zones.values() for h in hosts]
         return {h.id: h.weight * h.share for h in members if h.share} or {h.id: h.weight for h in members}
@@ -266,13 +263,13 @@
                 self.orders.append(our.BindTable(proxy.number, proxy.first_table + group, tuple(kinds)))
                 self.book(proxy, 1 + len(proxy.lines[group]) + len(self.facts["req_kinds"]))
         # What a waiting proxy brought may name hosts that went while it was away: withdrawals are told again.
-        untold = [p for p in self.joined if not (p.bound or p.told)]
-        if untold and self.now >= self.restate_at:
+        untold = [p for p in self.joined if not (p.bound or p.told) and self.now >= self.restate_at]
+        for proxy in untold:
+            proxy.told = True
+            self.book(proxy, self.facts.get("standing", 0))
+        if untold:
             self.restate_at = self.now + self.facts["drain_grace"] / 4
             self.orders += [our.Withdraw(h.id, True) for h in self.hosts.values() if h.withdrawn]
-            for proxy in untold:
-                proxy.told = True
-                self.book(proxy, self.facts.get("standing", 0))
 
     def remove_lost(self):
         """Hosts that drain, went or were dropped leave every table at once: their reqs are lost reqs."""
@@ -319,7 +316,8 @@
         self.all_dirty()
 
     def take_member(self, member):
-        host = self.hosts.setdefault(member.host, Host(member, self.now, not self.listed))
+        proved = not (self.listed and self.facts.get("probing"))
+        host = self.hosts.setdefault(member.host, Host(member, self.now, proved))
         if member.phase == "gone" and self.answers_still(host):
             return
         back = member.phase == "ready" and (host.phase != "ready" or member.started_at != host.started_at)
@@ -329,7 +327,6 @@
         host.out_until, host.probe_fails = None, 0
         host.clear_evidence(self.now)
         host.cold_from = host.started_at if self.now - host.started_at < self.facts["warm_after"] else None
-        host.proved |= not self.facts.get("probing")
         if self.listed or host.cold_from is not None:
             self.start_ramp(host)
 
@@ -364,7 +361,7 @@
         host.reach, host.regain_at = reach, self.now + host.regain_wait
         holders = [p for p in self.joined if p.number in host.spared or any(host.id in li for li in p.lines)]
         spare, host.spared = (1 - reach) * sum(p.rate for p in holders), set()
-        for proxy in sorted(holders, key=lambda p: self.rank(p, host), reverse=True):
+        for proxy in sorted(holders, key=lambda p: rank(p, host), reverse=True):
             if proxy.rate / 2 < spare:
                 host.spared.add(proxy.number)
                 spare -= proxy.rate
@@ -469,20 +466,23 @@
             self.all_dirty()
         host.probe_passes = 0 if failed else host.probe_passes + 1
         host.probe_fails = host.probe_fails + 1 if failed else 0
-        if failed:
-            host.probe_at = min(host.probe_at, self.now + PROBE_AGAIN)
+        host.probe_at = min(host.probe_at, self.now + PROBE_AGAIN) if failed else host.probe_at
 
     def judge(self):
         ready = [h for h in self.hosts.values() if h.phase == "ready" and h.proved]
         heard = [h for h in ready if h.usable and h.tries >= 2]
         usual_bad, usual_load = middle([h.bad / h.tries for h in heard]), middle([h.load for h in heard])
         usual_time, target = middle([h.mean_time for h in heard]), self.mean_target()
-        # What the middle try met: cold hosts that are given little say nothing of the room that is left.
-        met = [h for h in self.hosts.values() if h.usable and h.tries >= 0.5 for _ in range(ceil(h.tries))]
-        self.met_bad, self.met_load = middle([h.bad / h.tries for h in met]), middle([h.load for h in met])
-        self.met_late = middle([h.mean_time for h in met]) / target
-        strain = max(self.met_load / 0.9, self.met_late / LATE_MUCH, self.met_bad / BAD_MUCH)
-        self.tight = strain > (0.8 if self.tight else 1.0) and self.met_load > 0.7
+        # What the middle try met: cold hosts that are given little say nothing of the room that is left. Few
+        # tries a host are enough: when little is let in, nothing else would ever tell that all is well.
+        spoke = [h for h in ready if h.usable and h.tries >= 0.5]
+        met = [h for h in spoke for _ in range(ceil(h.tries))]
+        bad, load = middle([h.bad / h.tries for h in met]), middle([h.load for h in met])
+        late = middle([h.mean_time for h in met]) / target
+        self.met = bad, load, late, len(spoke)
+        self.tight = max(load / 0.9, late / LATE_MUCH, bad / BAD_MUCH) > 1 - 0.2 * self.tight and load > 0.7
+        held = sum(h.share for h in ready if h.usable) / max(1, len(ready))
+        self.spread = held if self.room < 1.0 or load > 0.7 else 1.0
         # A deep probe times out at a busy host: more must fail in a row than chance does at the middle one.
         fails = max(3.0, log(0.001) / log(min(0.8, max(0.01, middle([h.probes_bad for h in ready])))))
         for host in [h for h in ready if h.usable]:
@@ -534,12 +534,10 @@
             self.orders.append(our.Probe(host.id))
 
     def watch_room(self):
-        # Few tries a host are enough: when little is let in, nothing else would ever tell that all is well.
-        heard = [h for h in self.hosts.values() if h.usable and h.tries >= 0.5]
-        if self.now < self.level_at or len(heard) < 3 or not all(self.may_write(p, 0.7) for p in self.joined):
+        bad, load, late, spoke = self.met
+        if self.now < self.level_at or spoke < 3 or not all(self.may_write(p, 0.7) for p in self.joined):
             return
         self.level_at = self.now + 0.8
-        bad, load, late = self.met_bad, self.met_load, self.met_late
         # What fails or is late while hosts have room is no want of room: answers that get lost, callers in a
         # hurry; or, right after a cut, what was sent before it. Load reports are newer.
         told = "util" in self.facts["report_fields"]
@@ -600,9 +598,6 @@
             self.orders.append(our.WatchRoster(True))
         if self.now - self.round_at >= ROUND_WAIT:
             self.end_round()
-        ready = [h for h in self.hosts.values() if h.phase == "ready"]
-        held = sum(h.share for h in ready if h.usable) / max(1, len(ready))
-        self.spread = held if self.room < 1.0 or self.met_load > 0.7 else 1.0
         for host in self.hosts.values():
             self.tend(host)
 
