--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -37,7 +37,7 @@
 FULL, MOST_CUT = 0.85, 0.85  # part of its cores that the middle host may use; what a cut leaves at least
 EDGE, REGAIN_PAST = 0.85, 0.02  # of the level where a storm began, surely carried; past it, a round
 LEAST_LET_IN, LEAST_OF_ONE = 0.3, 0.05  # of all kinds, of one
-COLD_PART, COLD_MOST = 0.2, 0.2  # of what tips a cold host, its plan; of a table, all cold ones' part
+COLD_PART, COLD_SHUN, COLD_MOST = 0.3, 0.2, 0.2  # of what tips a host, if proxies shun; all, of a table
 COLD_STEPS = (0.06, 0.12, 0.18, 0.25, 0.37, 0.5, 0.75, 1.0)
 
 
@@ -59,9 +59,8 @@
         self.cold_from = None  # when its current cold start began, as far as is known
         self.step, self.share, self.grow_at = 1.0, 1.0, 0.0  # part of its weight by the ramp, as published
         self.reach, self.spared = 1.0, frozenset()  # part of the reqs that may come; proxies that do without
-        self.regain_at, self.regain_wait, self.strained_at = 0.0, FIRST_REGAIN, -1e9
-        self.withdrawn, self.strikes, self.out_until = False, 0, None
-        self.out_by_probe, self.returned_at = False, -1e9
+        self.regain_at, self.regain_wait, self.strained_at, self.returned_at = 0.0, FIRST_REGAIN, -1e9, -1e9
+        self.withdrawn, self.strikes, self.out_until, self.out_by_probe = False, 0, None, False
         self.probe_at, self.probe_fails, self.probe_passes, self.probes_bad = 0.0, 0, 0, 0.0
         self.clear_evidence(now)
 
@@ -376,7 +375,8 @@
         if self.tight and self.facts.get("fails_to_shun"):
             return 0.0
         first, age = self.facts["cold_share"], (self.now - host.cold_from) / self.facts["warm_after"]
-        most = self.spread * COLD_PART * self.facts["tip_multiple"] * (first + (1 - first) * min(1.0, age))
+        part = COLD_SHUN if self.facts.get("fails_to_shun") else COLD_PART
+        most = self.spread * part * self.facts["tip_multiple"] * (first + (1 - first) * min(1.0, age))
         return max((s for s in COLD_STEPS if s <= min(host.step, most)), default=0.0)
 
     def on_joined(self, event):
@@ -482,8 +482,7 @@
         self.met = bad, load, late, len(spoke)
         self.tight = max(load / 0.9, late / LATE_MUCH, bad / BAD_MUCH) > 1 - 0.2 * self.tight and load > 0.7
         held = sum(h.share for h in ready if h.usable) / max(1, len(ready))
-        crowded = self.facts.get("fails_to_shun") and (self.room < 1.0 or load > 0.7)
-        self.spread = held if crowded else 1.0
+        self.spread = held if self.room < 1.0 or load > 0.7 else 1.0
         # A deep probe times out at a busy host: more must fail in a row than chance does at the middle one.
         fails = max(3.0, log(0.001) / log(min(0.8, max(0.01, middle([h.probes_bad for h in ready])))))
         for host in [h for h in ready if h.usable]:
