--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -278,8 +278,8 @@
                 gone = [h for h in lines if not self.hosts[h].usable]
                 for host in gone:
                     self.set_line(proxy, group, host, 0.0)
-                if gone and self.chilly([self.hosts[h] for h in lines]) and self.has_room():
-                    self.write_table(proxy)  # cold hosts must not get what the lost ones had
+                if gone and (not lines or self.has_room() and self.chilly([self.hosts[h] for h in lines])):
+                    self.write_table(proxy)  # none without a line; cold hosts must not get the lost ones' part
 
     def publish_stage(self):
         """Deltas go to a tenth of the proxies at a time, so that a mistake is met by few at first."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -82,6 +82,14 @@
         made.remove_lost()
         self.assertTrue(set(warm) <= set(proxy.lines[0]))
 
+    def test_a_table_that_lost_its_last_line_is_filled_however_full_the_queue(self):
+        made = planner()
+        proxy = made.proxies[0]
+        proxy.lines[0], made.lost, made.orders = {0: 1.0}, True, []
+        made.hosts[0].phase, made.queue, made.queue_at = "gone", made.facts["queue_most"], made.now
+        made.remove_lost()
+        self.assertTrue(proxy.lines[0])
+
     def test_a_cold_host_takes_no_more_than_a_part_of_what_tips_it_and_none_when_proxies_shun(self):
         made = planner()
         host = made.hosts[0]
