--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -279,7 +279,7 @@
                 for host in gone:
                     self.set_line(proxy, group, host, 0.0)
                 if gone and (not lines or self.has_room() and self.chilly([self.hosts[h] for h in lines])):
-                    self.write_table(proxy)  # none without a line; cold hosts must not get the lost ones' part
+                    self.write_table(proxy)  # none without a line, cold hosts not with the lost ones' part
 
     def publish_stage(self):
         """Deltas go to a tenth of the proxies at a time, so that a mistake is met by few at first."""
