--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -482,7 +482,7 @@
         self.met = bad, load, late, len(spoke)
         self.tight = max(load / 0.9, late / LATE_MUCH, bad / BAD_MUCH) > 1 - 0.2 * self.tight and load > 0.7
         held = sum(h.share for h in ready if h.usable) / max(1, len(ready))
-        self.spread = held if self.room < 1.0 or load > 0.7 else 1.0
+        self.spread = held if self.facts.get("fails_to_shun") and (self.room < 1 or load > 0.7) else 1.0
         # A deep probe times out at a busy host: more must fail in a row than chance does at the middle one.
         fails = max(3.0, log(0.001) / log(min(0.8, max(0.01, middle([h.probes_bad for h in ready])))))
         for host in [h for h in ready if h.usable]:
