--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -34,7 +34,7 @@
 PROBE_EVERY, PROBE_AGAIN = 1.0, 0.3  # seconds; after a failure sooner
 ROUNDS_HEARD, SUMS_LATE = 3, 1.0  # until a steward that starts acts; seconds that sums are late, about
 BAD_MUCH, LATE_MUCH = 0.1, 0.42  # of the middle try's host, failing; of the target: no room
-FULL, MOST_CUT = 0.75, 0.85  # part of its cores that the middle host may use; what a cut leaves at least
+FULL, SPREAD_FULL, MOST_CUT = 0.85, 0.75, 0.85  # of the cores; in shards, uneven; what a cut leaves at least
 EDGE, REGAIN_PAST = 0.85, 0.02  # of the level where a storm began, surely carried; past it, a round
 LEAST_LET_IN, LEAST_OF_ONE = 0.3, 0.05  # of all kinds, of one
 COLD_PART, COLD_SHUN, COLD_MOST = 0.3, 0.2, 0.2  # of what tips a host, if proxies shun; all, of a table
@@ -99,13 +99,13 @@
         self.draw, self.shuffle = (rng := Random(seed)).uniform, rng.shuffle
         self.hosts, self.proxies, self.orders, self.group_open = {}, {}, [], self.group_kinds()
         self.holders = max(1.0, settings.get("proxies", 1) / max(1, settings.get("stewards", 1)))
+        self.full = SPREAD_FULL if self.holders > COVERAGE else FULL
         self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else float("inf")
         self.queue = self.queue_at = self.stage_at = self.restate_at = 0.0
         self.rounds, self.round_at, self.reqs = 0, float("inf"), [1.0] * len(settings["req_kinds"])
         self.room, self.edge, self.strain_heard, self.level_at, self.levels = 1.0, 1.0, 0.0, 0.0, None
         self.cutting = self.stormy = self.tight = self.sunk = self.lost = self.listed = False
-        self.dirty, self.plan, self.plan_at = set(), {}, 0.0
-        self.met, self.spread = (0.0, 0.0, 0.0, 0), 1.0
+        self.dirty, self.plan, self.plan_at, self.spread, self.met = set(), {}, 0.0, 1.0, (0.0, 0.0, 0.0, 0)
         self.cycle = settings.get("sums_every", 1.0)  # seconds between two sums of one host, about
         self.ways, self.far = {}, set()  # (zone of proxies, of hosts): until when bad and the wait; those now
         self.handlers = {
@@ -542,7 +542,7 @@
         # hurry; or, right after a cut, what was sent before it. Load reports are newer.
         told = "util" in self.facts["report_fields"]
         over = load < 0.6 and (told or self.cutting)
-        if (bad > BAD_MUCH or late > LATE_MUCH or load > FULL) and not over:
+        if (bad > BAD_MUCH or late > LATE_MUCH or load > self.full) and not over:
             # Full queues hold work whose clients have gone: little is let in until it is done. Two rounds
             # must tell so: sums that a stall held back look like a storm.
             storm = bad > 3 * BAD_MUCH or late > 2 * LATE_MUCH
@@ -555,9 +555,9 @@
             self.room = LEAST_LET_IN if grave else max(LEAST_LET_IN, self.room * (cut if worse else 1.0))
             self.cutting, self.stormy, self.strain_heard = True, storm, late + bad
             self.level_at += 1.0 if grave else 0.0
-        elif over and self.room <= LEAST_LET_IN or late < 0.7 * LATE_MUCH and load < FULL:
+        elif over and self.room <= LEAST_LET_IN or late < 0.7 * LATE_MUCH and load < self.full:
             # Back fast to what was surely carried; past it slowly, since reports lag and storms cost more.
-            more = FULL / max(0.4, load) if told else LATE_MUCH / max(0.1, late)
+            more = self.full / max(0.4, load) if told else LATE_MUCH / max(0.1, late)
             past = max(REGAIN_PAST, self.room * (more - 1) / 10)
             self.room, self.cutting = min(1.0, max(self.edge, self.room + past)), False
             self.stormy, self.strain_heard = False, 0.0
