--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -541,7 +541,7 @@
         # What fails or is late while hosts have room is no want of room: answers that get lost, callers in a
         # hurry; or, right after a cut, what was sent before it. Load reports are newer.
         told = "util" in self.facts["report_fields"]
-        over = load < 0.6 and (told or self.cutting)
+        over = load < 0.6 and (told or self.room <= LEAST_LET_IN)
         if (bad > BAD_MUCH or late > LATE_MUCH or load > self.full) and not over:
             # Full queues hold work whose clients have gone: little is let in until it is done. Two rounds
             # must tell so: sums that a stall held back look like a storm.
@@ -557,7 +557,7 @@
             self.level_at += 1.0 if grave else 0.0
         elif over and self.room <= LEAST_LET_IN or late < 0.7 * LATE_MUCH and load < self.full:
             # Back fast to what was surely carried; past it slowly, since reports lag and storms cost more.
-            more = self.full / max(0.4, load) if told else LATE_MUCH / max(0.1, late)
+            more = self.full / max(0.4, load) if told else 1.0
             past = max(REGAIN_PAST, self.room * (more - 1) / 10)
             self.room, self.cutting = min(1.0, max(self.edge, self.room + past)), False
             self.stormy, self.strain_heard = False, 0.0
