--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -445,10 +445,10 @@
             self.all_dirty()
 
     def on_req_sums(self, event):
-        # Refused clients come again, once or so: a kind that is cut must not count for more than it asks.
-        self.reqs[event.kind] += event.reqs / (2 - self.levels[event.kind][0])
         proxy = self.proxies.get(event.proxy)
-        if proxy and event.span:
+        if proxy and event.span and event.kind < len(self.reqs):
+            # Refused clients come again, once or so: a kind that is cut must not count for more than it asks.
+            self.reqs[event.kind] += event.reqs / (2 - self.levels[event.kind][0])
             heard = proxy.heard.get(event.kind, event.reqs / event.span)
             proxy.heard[event.kind] = heard + (event.reqs / event.span - heard) / 3
             proxy.rate = sum(proxy.heard.values())
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -117,6 +117,19 @@
         self.assertFalse(of_type(orders, our.BindTable))
         self.assertIn(our.Withdraw(3, True), orders)
 
+    def test_events_that_name_what_is_not_known_are_taken_in_and_put_nothing_on_a_table(self):
+        made = planner()
+        orders = made.decide(101.0, [
+            our.HostSums(900, 7, 3, 5, 0.0, 0.1, {"odd": 1.0}), our.ReqSums(900, 70, 5, 0, 0.0),
+            our.ReqSums(0, 70, 5, 0, 1.0), our.HostSums(1, 7, 3, 5, 9.0, 0.1, None), our.ProxyLeft(1),
+            our.ProbeResult(900, "ok", 0.1, None), our.ProxyLeft(900), our.PeerNote(5, b""), our.ProxyLeft(1),
+            our.Roster("changes", 1, (member(901, 6, "gone"), member(2), member(2))),
+            our.ProxyJoined(60000, 9, 1.0, False), our.ProxyJoined(60000, 9, 1.0, True), our.TimerFired(99)])
+        later = made.decide(103.0, [our.TimerFired(0), our.TimerFired(0)])
+        named = {o.host for o in of_type(orders + later, our.SetLine) if o.weight}
+        self.assertFalse(named & {900, 901})
+        self.assertIn(60000, {o.proxy for o in of_type(orders + later, our.BindTable)})
+
     def test_what_can_be_put_off_waits_once_a_proxy_had_half_its_messages(self):
         made = planner(messages_most=20)
         proxy = made.proxies[0]
