--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -101,8 +101,8 @@
         self.holders = max(1.0, settings.get("proxies", 1) / max(1, settings.get("stewards", 1)))
         self.full = SPREAD_FULL if self.holders > COVERAGE else FULL
         self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else float("inf")
-        self.queue = self.queue_at = self.stage_at = self.restate_at = 0.0
-        self.rounds, self.round_at, self.reqs = 0, float("inf"), [1.0] * len(settings["req_kinds"])
+        self.queue = self.queue_at = self.stage_at = self.restate_at = self.rounds = 0
+        self.round_at, self.reqs = float("inf"), [1.0] * len(settings["req_kinds"])
         self.room, self.edge, self.strain_heard, self.level_at, self.levels = 1.0, 1.0, 0.0, 0.0, None
         self.cutting = self.stormy = self.tight = self.sunk = self.lost = self.listed = False
         self.dirty, self.plan, self.plan_at, self.spread, self.met = set(), {}, 0.0, 1.0, (0.0, 0.0, 0.0, 0)
@@ -402,15 +402,15 @@
             return
         # Where lines are capped each covers many rounds and comes seldom: what was heard stands as long.
         self.cycle += (max(event.span, self.facts["sums_every"]) - self.cycle) / 8
-        good = event.tries - event.bad
+        good, (at, *old) = event.tries - event.bad, host.sums.get(event.zone, (self.now, 0, 0, 0))
         host.good_at = self.now if good else host.good_at
-        at, *old = host.sums.get(event.zone, (self.now, 0, 0, 0))
         keep, news = FADE ** ((self.now - at) / self.cycle), (event.tries, event.bad, event.mean_time * good)
         host.sums[event.zone] = self.now, *(o * keep + n for o, n in zip(old, news))
         host.take_report(event.report)
 
     def end_round(self):
-        self.rounds, self.round_at, self.reqs = self.rounds + 1, float("inf"), [0.9 * n for n in self.reqs]
+        self.rounds, self.round_at = self.rounds + 1, float("inf")
+        self.reqs = [max(1e-3, 0.9 * n) for n in self.reqs]  # never none: kinds fall silent for hours
         self.watch_ways()
         # Fading is quick: a storm's many failures would outweigh the few good sums after it.
         for host in self.hosts.values():
