--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -205,8 +205,8 @@
         most = {z: ceil(COVERAGE * len(members) / self.holders) for z, members in zones.items()}
         total, shard = max(1e-9, sum(asked.values())), {}
         size = min(sum(most.values()), total / max([1e-9, *(asked[z] / len(zones[z]) for z in zones)]))
+        even = self.facts.get("pick") == "lighter of two"  # such proxies need no large part of home
         for zone, members in zones.items():
-            even = self.facts.get("pick") == "lighter of two"  # such proxies need no large part of home
             here = min(round(size * asked[zone] / total), most[zone] if even else len(members))
             shard[zone] = members[:max(LEAST_A_ZONE, here)]
         return shard, zones
@@ -249,11 +249,11 @@
     def bind_waiting(self):
         """Whole tables of all proxies at once would pass what may wait in the channel. First come those whose
         standing tables, drawn in their zone, may lack a line for some kind."""
-        waiting = [p for p in self.joined if not p.bound and self.hosts and (
-            self.now >= p.hold_until or self.rounds >= ROUNDS_HEARD)]
+        unbound = [p for p in self.joined if not p.bound]
+        due = [p for p in unbound if self.hosts and (self.now >= p.hold_until or self.rounds >= ROUNDS_HEARD)]
         covered = {zone: all(zone in self.open_hosts(g, zone) for g in range(len(self.group_open)))
-                   for zone in {p.zone: 0 for p in waiting}}
-        for proxy in sorted(waiting, key=lambda p: covered[p.zone]):
+                   for zone in {p.zone: 0 for p in due}}
+        for proxy in sorted(due, key=lambda p: covered[p.zone]):
             if not self.has_room():
                 break
             self.write_table(proxy)
@@ -262,7 +262,7 @@
                 self.orders.append(our.BindTable(proxy.number, proxy.first_table + group, tuple(kinds)))
                 self.book(proxy, 1 + len(proxy.lines[group]) + len(self.facts["req_kinds"]))
         # What a waiting proxy brought may name hosts that went while it was away: withdrawals are told again.
-        untold = [p for p in self.joined if not (p.bound or p.told) and self.now >= self.restate_at]
+        untold = [p for p in unbound if not (p.bound or p.told) and self.now >= self.restate_at]
         for proxy in untold:
             proxy.told = True
             self.book(proxy, self.facts.get("standing", 0))
@@ -437,7 +437,7 @@
                     self.ways[zone, other] = self.now + wait, wait
                     self.orders.append(our.LogLine(f"way from zone {zone} to {other} is bad, {wait} s"))
         # Probes go from the steward's own zone: while they fail there is no need to try reqs again.
-        for way in [way for way in self.far if way[0] == self.facts["zone"]]:
+        for way in [way for way in sorted(self.far) if way[0] == self.facts["zone"]]:
             if middle([h.probes_bad for h in self.hosts.values() if h.zone == way[1]]) > 0.5:
                 self.ways[way] = max(self.ways[way][0], self.now + 2 * self.cycle), self.ways[way][1]
         near, self.far = self.far, {way for way, (until, _) in self.ways.items() if self.now < until}
@@ -470,12 +470,12 @@
 
     def judge(self):
         ready = [h for h in self.hosts.values() if h.phase == "ready" and h.proved]
-        heard = [h for h in ready if h.usable and h.tries >= 2]
+        spoke = [h for h in ready if h.usable and h.tries >= 0.5]
+        heard = [h for h in spoke if h.tries >= 2]
         usual_bad, usual_load = middle([h.bad / h.tries for h in heard]), middle([h.load for h in heard])
         usual_time, target = middle([h.mean_time for h in heard]), self.mean_target()
         # What the middle try met: cold hosts that are given little say nothing of the room that is left. Few
         # tries a host are enough: when little is let in, nothing else would ever tell that all is well.
-        spoke = [h for h in ready if h.usable and h.tries >= 0.5]
         met = [h for h in spoke for _ in range(ceil(h.tries))]
         bad, load = middle([h.bad / h.tries for h in met]), middle([h.load for h in met])
         late = middle([h.mean_time for h in met]) / target
@@ -489,7 +489,7 @@
             tried_from = max(host.good_at, self.ways.get((self.facts["zone"], host.zone), (-1e9,))[0])
             if self.now - tried_from > 1.3 * self.cycle and host.probe_fails >= fails and host.bad > 0.5:
                 self.drop(host, ready, True)
-            elif host in heard:
+            elif host.tries >= 2:
                 time, part = host.mean_time, host.bad / host.tries
                 failing = host.bad >= 3 and part > max(0.25, 3 * usual_bad + 0.1)
                 slow = time > max(1.5 * usual_time, 0.6 * target)
