Probes alone drop a silent host where nobody tells of tries; proxy numbers past 16 bits

Need: DNS clients report no tries; with no sums the module dropped a silent host never (20 of 20 tables after 60 s), and a proxy number above 65,535 ended the planner with OverflowError. Change: where the setting tries_told is false, failing probes convict alone and end rounds; long numbers salt the rank with eight bytes. First parts of the settings script and the DNS front.

--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -46,7 +46,8 @@
 
 
 def rank(proxy, host):
-    return blake2b(host.name, digest_size=8, salt=proxy.number.to_bytes(2, "big")).digest()
+    salt = proxy.number.to_bytes(2 if proxy.number < 65536 else 8, "big")  # names hashed to numbers are long
+    return blake2b(host.name, digest_size=8, salt=salt).digest()
 
 
 class Host:
@@ -467,6 +468,8 @@
         host.probe_passes = 0 if failed else host.probe_passes + 1
         host.probe_fails = host.probe_fails + 1 if failed else 0
         host.probe_at = min(host.probe_at, self.now + PROBE_AGAIN) if failed else host.probe_at
+        if not self.facts.get("tries_told", True):
+            self.round_at = min(self.round_at, self.now)  # else no round would ever end, and none be judged
 
     def judge(self):
         ready = [h for h in self.hosts.values() if h.phase == "ready" and h.proved]
@@ -487,7 +490,9 @@
         fails = max(3.0, log(0.001) / log(min(0.8, max(0.01, middle([h.probes_bad for h in ready])))))
         for host in [h for h in ready if h.usable]:
             tried_from = max(host.good_at, self.ways.get((self.facts["zone"], host.zone), (-1e9,))[0])
-            if self.now - tried_from > 1.3 * self.cycle and host.probe_fails >= fails and host.bad > 0.5:
+            # Where no proxy tells of its tries, a host that has gone silent is told of by nobody: probes alone.
+            told = host.bad > 0.5 or not self.facts.get("tries_told", True)
+            if self.now - tried_from > 1.3 * self.cycle and host.probe_fails >= fails and told:
                 self.drop(host, ready, True)
             elif host.tries >= 2:
                 time, part = host.mean_time, host.bad / host.tries
--- /dev/null
+++ b/peatlead/dns/thin.py
@@ -0,0 +1,89 @@
+"""Which of a view's lines its answers may name while hosts ramp. Pure: no I/O, no clock, no chance.
+
+A table's small weight means a small part of a view's reqs. An answer can't say that: whoever caches it
+gives the hosts that it names the whole of a desk for a lifetime. A cold host at a tenth of its weight, in
+a tenth of a busy view's answers, gets all of that view one lifetime in ten, and is pushed over though the
+mean is right. So the small part is made of *views*, not of *answers*: a host that ramps is named, at its
+full weight, by just so many small views that all of them together, whole, bring no more than the planner
+meant it to have; the others name it not at all. As its weight grows, more views name it.
+
+A view with nothing but ramping hosts names them all: it must name some (rule 1). Its answers then get no
+lifetime (RFC 1035 section 3.2.1: for this transaction only), so that each resolution is a draw of its own.
+"""
+
+from typing import NamedTuple
+
+RAMPING = 0.999  # of the listed weight: below, the planner holds a host back
+LEAST_RATE = 0.05  # reqs a second that any view is counted with, however silent: it may wake
+
+
+class Named(NamedTuple):
+    """`lines`: host -> weight that answers are drawn by; `lasting`: whether they may be kept."""
+    lines: dict
+    lasting: bool
+
+
+class Thinning:
+    """Remembers which views hold which host, so that a change costs the views it touches.
+
+    One entry point: `decide(changed, listed, rates)` returns {view: Named} for all views whose named lines
+    are not what they were.
+    """
+
+    def __init__(self):
+        self.tables = {}  # view -> host -> weight as the planner ordered
+        self.holders = {}  # host -> views whose table holds it
+        self.named = {}  # view -> Named
+
+    def decide(self, changed, listed, rates):
+        """`changed`: {view: {host: weight}}, whole tables; `listed`: {host: its whole weight};
+        `rates`: {view: reqs a second}."""
+        touched = set(changed)
+        for view, table in changed.items():
+            for host in self.tables.get(view, {}).keys() - table.keys():
+                self.holders[host].discard(view)
+            for host in table:
+                self.holders.setdefault(host, set()).add(view)
+            self.tables[view] = dict(table)
+        ramping = {host for view in touched for host in self.tables[view]} | self.ramping_before
+        ramping = {h for h in ramping if any(
+            self.tables[v][h] < RAMPING * listed.get(h, 0.0) for v in self.holders.get(h, ()))}
+        takers = {host: self.takers(host, rates) for host in sorted(ramping)}
+        for host in ramping | self.ramping_before:
+            touched |= self.holders.get(host, set())
+        self.ramping_before = ramping
+        news = {}
+        for view in sorted(touched):
+            now = self.name(view, takers, listed)
+            if now != self.named.get(view):
+                news[view] = self.named[view] = now
+        return news
+
+    ramping_before = frozenset()
+
+    def takers(self, host, rates):
+        """The views that name a ramping host: the smallest first, as many as its planned part can bear whole."""
+        planned, views = 0.0, []
+        for view in self.holders[host]:
+            table, rate = self.tables[view], max(LEAST_RATE, rates.get(view, 1.0))
+            planned += rate * table[host] / sum(table.values())
+            views.append((rate, view))
+        chosen, used = set(), 0.0
+        for rate, view in sorted(views):
+            if used + rate > planned:
+                break
+            used += rate
+            chosen.add(view)
+        return chosen
+
+    def name(self, view, takers, listed):
+        table, lines = self.tables[view], {}
+        for host, weight in table.items():
+            if host not in takers:
+                lines[host] = weight
+            elif view in takers[host]:
+                lines[host] = listed.get(host, weight)
+        whole = [host for host in table if host not in takers]
+        if whole:
+            return Named(lines, True)
+        return Named(dict(table), False)
--- /dev/null
+++ b/peatlead/settings/shapes.py
@@ -0,0 +1,190 @@
+"""What each builtin of a settings script takes: one `Field` a name, with its check and its meaning.
+
+`REFERENCE` is what `peatlead check --reference` prints; the defaults are the program's own and are
+documented in docs/operators/steward.md. Times are float seconds.
+"""
+
+from ipaddress import ip_address, ip_network
+from typing import Any, Callable, NamedTuple
+
+REQUIRED = object()
+
+
+class Field(NamedTuple):
+    check: Callable[[Any], Any]  # returns the value as it is kept, or raises ValueError("expected ...")
+    default: Any
+    meaning: str
+
+
+def expected(what, value):
+    return ValueError(f"expected {what}, got {value!r}")
+
+
+def number(least=None, most=None, whole=False):
+    def check(value):
+        kinds = (int,) if whole else (int, float)
+        if isinstance(value, bool) or not isinstance(value, kinds) or value != value:
+            raise expected("a whole number" if whole else "a number", value)
+        if least is not None and value < least or most is not None and value > most:
+            bounds = f"at least {least}" if most is None else f"from {least} to {most}"
+            raise expected(f"a number {bounds}", value)
+        return value if whole else float(value)
+    return check
+
+
+def text(value):
+    if not isinstance(value, str) or not value:
+        raise expected("a text that is not empty", value)
+    return value
+
+
+def flag(value):
+    if not isinstance(value, bool):
+        raise expected("True or False", value)
+    return value
+
+
+def one_of(*choices):
+    def check(value):
+        if value not in choices:
+            raise expected("one of " + ", ".join(map(repr, choices)), value)
+        return value
+    return check
+
+
+def many(check_one, least=0):
+    def check(value):
+        if not isinstance(value, (list, tuple)) or len(value) < least:
+            raise expected(f"a list of at least {least}" if least else "a list", value)
+        return [check_one(one) for one in value]
+    return check
+
+
+def domain(value):
+    """A domain name in lower case without the last dot (RFC 1035 section 2.3.1)."""
+    labels = text(value).rstrip(".").lower().split(".")
+    if len(value) > 200 or not all(0 < len(x) < 64 and x.replace("-", "").replace("_", "").isalnum()
+                                   for x in labels):
+        raise expected("a domain name of letters, digits and hyphens", value)
+    return ".".join(labels)
+
+
+def label(value):
+    if "." in text(value):
+        raise expected("one label without dots", value)
+    return domain(value)
+
+
+def address(value):
+    try:
+        return str(ip_address(value))
+    except ValueError:
+        raise expected("an IP address", value) from None
+
+
+def network(value):
+    try:
+        return str(ip_network(value))
+    except ValueError:
+        raise expected("a network such as 10.1.2.0/24 with no host bits set", value) from None
+
+
+def endpoint(value):
+    host, _, port = text(value).rpartition(":")
+    if not port.isdigit() or not 0 < int(port) < 65536:
+        raise expected("ADDRESS:PORT", value)
+    return address(host.strip("[]")), int(port)
+
+
+seconds = number(0.0, 86400.0)
+some_seconds = number(0.001, 86400.0)
+part = number(0.0, 1.0)
+
+ONCE = {  # builtins that a script calls exactly once
+    "dns": {
+        "zone": Field(domain, REQUIRED, "the zone that stewards answer for"),
+        "hosts_label": Field(label, "hosts", "host names stand under this label of the zone"),
+        "port": Field(number(1, 65535, True), REQUIRED, "the port that hosts serve reqs on, told in SRV"),
+        "service_label": Field(label, "_http", "first label of SRV names"),
+        "lifetime": Field(number(0, 3600, True), REQUIRED, "lifetime (TTL) of answers that name hosts, whole seconds"),
+        "addresses": Field(number(1, 16, True), 2, "addresses in an A or AAAA answer"),
+        "udp_most": Field(number(512, 4096, True), 1232, "longest answer over UDP with EDNS, bytes"),
+        "trusted_resolvers": Field(many(network), [], "resolvers whose client subnet option is believed"),
+        "open_views": Field(number(0, 65536, True), 16, "views that networks not listed share, by hash"),
+        "tcp_most": Field(number(1, 10000, True), 256, "TCP connections held at most; the idlest is cut"),
+        "tcp_idle": Field(some_seconds, 10.0, "a TCP peer silent or slow for longer is cut"),
+        "prepared_most": Field(number(16, 10_000_000, True), 50_000, "prepared queries kept; when full, all go"),
+    },
+    "limits": {
+        "drain_grace": Field(some_seconds, REQUIRED, "a drained host must get no req later than this"),
+        "bare_most": Field(some_seconds, REQUIRED, "a view may be without a line for this long"),
+        "cold_share": Field(number(0.01, 1.0), REQUIRED, "part of its capacity that a just started host has"),
+        "warm_after": Field(some_seconds, REQUIRED, "after this a started host has all its capacity"),
+        "tip_multiple": Field(number(1.0), REQUIRED, "a cold host falls over past this multiple of its capacity"),
+        "tip_span": Field(some_seconds, REQUIRED, "... offered for this long"),
+        "queue_most": Field(number(1.0), 4000.0, "lines that may wait in a steward's channel"),
+        "channel_rate": Field(number(1.0), 4000.0, "lines a second that the channel lets through"),
+        "message_head": Field(number(0.0), 6.0, "lines that the head of a message counts for"),
+        "messages_most": Field(number(0, whole=True), 40, "messages to one view in messages_span; 0: no cap"),
+        "messages_span": Field(some_seconds, 10.0, "see messages_most"),
+        "push_delay_most": Field(some_seconds, 0.5, "longest way of a message from steward to answers"),
+    },
+    "node_list": {
+        "path": Field(text, REQUIRED, "the JSON file with the hosts"),
+        "every": Field(some_seconds, 0.2, "how often the file is looked at"),
+        "patience": Field(some_seconds, 2.0, "how long a torn or missing file is tried again before it is told"),
+    },
+    "probes": {
+        "port": Field(number(1, 65535, True), REQUIRED, "the port that hosts answer probes on"),
+        "path": Field(text, "/load", "what is asked for; a deep probe waits and is served like a req"),
+        "deadline": Field(some_seconds, 0.8, "a probe without an answer by then timed out"),
+        "at_once": Field(number(1, 100000, True), 64, "probes in flight at most; more wait their turn"),
+        "waiting_most": Field(number(1, 100000, True), 512, "probes that may wait; more are dropped and counted"),
+    },
+    "choices": {
+        "gone_is_advice": Field(flag, False, "a host missing from the list stays while it answers"),
+        "crossing_price": Field(part, 0.0, "of gain lost by a req that crosses zones"),
+        "value_of_worst_kind": Field(part, 0.1, "weight of the worst served request kind in service"),
+        "sums_every": Field(some_seconds, 1.0, "seconds between sums of what hosts tell"),
+    },
+}
+MANY = {  # builtins that a script calls once for each thing
+    "zone": {"name": Field(text, REQUIRED, "as the node list names it")},
+    "request_kind": {
+        "name": Field(text, REQUIRED, "what hosts call it in their reports"),
+        "response_target": Field(some_seconds, REQUIRED, "an answer by then earns its whole gain"),
+        "client_timeout": Field(some_seconds, REQUIRED, "clients give up then"),
+        "gain": Field(number(0.0), 1.0, "worth of one req done"),
+        "repeat": Field(one_of("replayable", "uniqued", "non-replayable"), REQUIRED, "may it run again"),
+        "only_zones": Field(many(text), [], "zones whose hosts may serve it; none: all"),
+    },
+    "service": {
+        "label": Field(label, REQUIRED, "the name, under the zone, that desks resolve"),
+        "kinds": Field(many(text, 1), REQUIRED, "request kinds that come to it"),
+    },
+    "view": {
+        "name": Field(label, REQUIRED, "the desk; also a name of its own under each service"),
+        "zone": Field(text, REQUIRED, "the zone it is nearest to"),
+        "networks": Field(many(network), [], "its clients' networks"),
+        "resolvers": Field(many(address), [], "resolvers that ask for it alone"),
+        "rate": Field(number(0.01, 1e6), 1.0, "reqs a second, until hosts have told"),
+    },
+    "steward": {
+        "name": Field(label, REQUIRED, "also its name server name under the zone"),
+        "zone": Field(text, REQUIRED, "the zone it probes from"),
+        "listen": Field(endpoint, REQUIRED, "ADDRESS:PORT for DNS, UDP and TCP"),
+        "control": Field(endpoint, REQUIRED, "ADDRESS:PORT for operators' questions"),
+        "seed": Field(number(0, whole=True), 1, "of all its chance"),
+    },
+}
+
+
+def reference():
+    """Every builtin and field, one a line, as a text."""
+    lines = []
+    for name, fields in {**ONCE, **MANY}.items():
+        lines.append(f"{name}({'...' if name in MANY else 'once'})")
+        for field, (_, default, meaning) in fields.items():
+            value = "required" if default is REQUIRED else f"default {default!r}"
+            lines.append(f"  {field}: {meaning} ({value})")
+    return "\n".join(lines)
