--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -490,7 +490,7 @@
         fails = max(3.0, log(0.001) / log(min(0.8, max(0.01, middle([h.probes_bad for h in ready])))))
         for host in [h for h in ready if h.usable]:
             tried_from = max(host.good_at, self.ways.get((self.facts["zone"], host.zone), (-1e9,))[0])
-            # Where no proxy tells of its tries, a host that has gone silent is told of by nobody: probes alone.
+            # Where no proxy tells of its tries, nobody tells of a silent host: probes convict alone.
             told = host.bad > 0.5 or not self.facts.get("tries_told", True)
             if self.now - tried_from > 1.3 * self.cycle and host.probe_fails >= fails and told:
                 self.drop(host, ready, True)
--- a/peatlead/dns/thin.py
+++ b/peatlead/dns/thin.py
@@ -15,6 +15,7 @@
 
 RAMPING = 0.999  # of the listed weight: below, the planner holds a host back
 LEAST_RATE = 0.05  # reqs a second that any view is counted with, however silent: it may wake
+CALMS = 0.9  # what is left of a view's rate after a round that told less: it falls slowly, rises at once
 
 
 class Named(NamedTuple):
@@ -26,18 +27,23 @@
 class Thinning:
     """Remembers which views hold which host, so that a change costs the views it touches.
 
-    One entry point: `decide(changed, listed, rates)` returns {view: Named} for all views whose named lines
-    are not what they were.
+    One entry point: `decide(changed, listed, heard)` returns {view: Named} for all views whose named lines
+    are not what they were. `rates` holds the reqs a second that each view is counted with; a view is any
+    key that sorts.
     """
 
-    def __init__(self):
+    def __init__(self, rates):
+        self.rates = dict(rates)
         self.tables = {}  # view -> host -> weight as the planner ordered
         self.holders = {}  # host -> views whose table holds it
         self.named = {}  # view -> Named
+        self.ramping = set()  # hosts that some table holds at less than their listed weight
 
-    def decide(self, changed, listed, rates):
+    def decide(self, changed, listed, heard=()):
         """`changed`: {view: {host: weight}}, whole tables; `listed`: {host: its whole weight};
-        `rates`: {view: reqs a second}."""
+        `heard`: [(view, reqs a second)], as the last round told."""
+        for view, rate in heard:
+            self.rates[view] = max(LEAST_RATE, rate, self.rates.get(view, 0.0) * CALMS)
         touched = set(changed)
         for view, table in changed.items():
             for host in self.tables.get(view, {}).keys() - table.keys():
@@ -45,27 +51,24 @@
             for host in table:
                 self.holders.setdefault(host, set()).add(view)
             self.tables[view] = dict(table)
-        ramping = {host for view in touched for host in self.tables[view]} | self.ramping_before
-        ramping = {h for h in ramping if any(
-            self.tables[v][h] < RAMPING * listed.get(h, 0.0) for v in self.holders.get(h, ()))}
-        takers = {host: self.takers(host, rates) for host in sorted(ramping)}
-        for host in ramping | self.ramping_before:
+        doubtful = self.ramping.union(*(self.tables[view] for view in touched))
+        ramping = {host for host in doubtful if any(
+            self.tables[view][host] < RAMPING * listed.get(host, 0.0) for view in self.holders.get(host, ()))}
+        takers = {host: self.takers(host) for host in sorted(ramping)}
+        for host in ramping | self.ramping:
             touched |= self.holders.get(host, set())
-        self.ramping_before = ramping
-        news = {}
+        self.ramping, news = ramping, {}
         for view in sorted(touched):
             now = self.name(view, takers, listed)
             if now != self.named.get(view):
                 news[view] = self.named[view] = now
         return news
 
-    ramping_before = frozenset()
-
-    def takers(self, host, rates):
+    def takers(self, host):
         """The views that name a ramping host: the smallest first, as many as its planned part can bear whole."""
         planned, views = 0.0, []
         for view in self.holders[host]:
-            table, rate = self.tables[view], max(LEAST_RATE, rates.get(view, 1.0))
+            table, rate = self.tables[view], self.rates.get(view, 1.0)
             planned += rate * table[host] / sum(table.values())
             views.append((rate, view))
         chosen, used = set(), 0.0
--- /dev/null
+++ b/peatlead/steward/channel.py
@@ -0,0 +1,138 @@
+"""The way from orders to what views hold: paced, counted in lines and messages, bounded. Pure.
+
+Orders of one batch make one message for each view concerned. Messages leave one after the other, each
+taking (head + lines) / rate seconds. A message for a view that has one waiting is merged into it: the
+newest word for a line is the only one that counts, so the queue can never hold more than every line of
+every view once, and a view never gets old news after new.
+"""
+
+from collections import OrderedDict
+
+from .. import interface as our
+
+
+class Message:
+    __slots__ = ("ops", "offered", "marks")
+
+    def __init__(self, now):
+        self.ops, self.offered, self.marks = {}, now, []
+
+
+class Channel:
+    """`offer(now, view, ops)`, then `due(now)` whenever `next_at` has come."""
+
+    def __init__(self, rate, head, most):
+        self.rate, self.head, self.most = rate, head, most
+        self.queue, self.free_at, self.waiting, self.deepest, self.past = OrderedDict(), 0.0, 0.0, 0.0, 0
+
+    def offer(self, now, view, ops, marks=()):
+        message = self.queue.get(view)
+        if message is None:
+            message = self.queue[view] = Message(now)
+            self.waiting += self.head
+        before = len(message.ops)
+        message.ops.update(ops)
+        message.marks.extend(marks)
+        self.waiting += len(message.ops) - before
+        self.deepest = max(self.deepest, self.waiting)
+        self.past += self.waiting > self.most  # told in the status; the planner keeps this at none
+
+    @property
+    def next_at(self):
+        return self.free_at if self.queue else None
+
+    def due(self, now):
+        """[(view, Message)] that may leave by now."""
+        found = []
+        while self.queue and self.free_at <= now:
+            view, message = self.queue.popitem(last=False)
+            size = self.head + len(message.ops)
+            self.waiting -= size
+            # An idle channel owes nothing for the past, and saves nothing up for a burst.
+            self.free_at = max(self.free_at, message.offered) + size / self.rate
+            found.append((view, message))
+        if not self.queue:
+            self.waiting = 0.0
+        return found
+
+
+class Publisher:
+    """What each order means for each view that it concerns. Tables are kept here as ordered; `views` are
+    the joined ones."""
+
+    def __init__(self):
+        self.tables, self.users, self.bound, self.joined = {}, {}, {}, set()
+
+    def join(self, view):
+        self.joined.add(view)
+
+    def take(self, orders):
+        """({view: {op: value}}, {view: [mark]}, the orders that are not for views)."""
+        out, marks, rest = {}, {}, []
+        for order in orders:
+            kind = type(order)
+            if kind is our.SetLine:
+                self.set_line(out, order.table, order.host, order.weight)
+            elif kind is our.ClearTable:
+                for host in list(self.tables.get(order.table, ())):
+                    self.set_line(out, order.table, host, 0.0)
+            elif kind is our.BindTable:
+                self.bind(out, order)
+            elif kind is our.Withdraw:
+                for view in self.joined:
+                    out.setdefault(view, {})["withdrawn", order.host] = order.on
+            elif kind is our.Mark:
+                for view in sorted(self.joined if order.everyone else out):
+                    out.setdefault(view, {})
+                    marks.setdefault(view, []).append(order.number)
+            else:
+                rest.append(order)
+        return out, marks, rest
+
+    def set_line(self, out, table, host, weight):
+        lines = self.tables.setdefault(table, {})
+        lines.pop(host, None)
+        if weight:
+            lines[host] = weight
+        for view in self.users.get(table, ()):
+            out.setdefault(view, {})["line", table, host] = weight
+
+    def bind(self, out, order):
+        ops = out.setdefault(order.proxy, {})
+        for kind in order.kinds:
+            old = self.bound.get((order.proxy, kind))
+            self.bound[order.proxy, kind] = order.table
+            ops["bind", kind] = order.table
+            if old is not None and old != order.table and old not in {
+                    table for (view, _), table in self.bound.items() if view == order.proxy}:
+                self.users[old].discard(order.proxy)
+        self.users.setdefault(order.table, set()).add(order.proxy)
+        for host, weight in self.tables.get(order.table, {}).items():
+            ops["line", order.table, host] = weight
+
+
+class ViewState:
+    """What one view holds: messages applied, in order. `lines(kind)` is its table less what is withdrawn."""
+
+    __slots__ = ("tables", "bound", "withdrawn")
+
+    def __init__(self):
+        self.tables, self.bound, self.withdrawn = {}, {}, set()
+
+    def apply(self, ops):
+        for op, value in ops.items():
+            if op[0] == "line":
+                lines = self.tables.setdefault(op[1], {})
+                lines.pop(op[2], None)
+                if value:
+                    lines[op[2]] = value
+            elif op[0] == "bind":
+                self.bound[op[1]] = value
+            elif value:
+                self.withdrawn.add(op[1])
+            else:
+                self.withdrawn.discard(op[1])
+
+    def lines(self, kind):
+        table = self.tables.get(self.bound.get(kind), {})
+        return {host: weight for host, weight in table.items() if host not in self.withdrawn}
--- /dev/null
+++ b/peatlead/steward/door.py
@@ -0,0 +1,41 @@
+"""Between names and the small indices inside: hosts, zones, and the list's clock. Nothing is decided here."""
+
+from .. import interface as our
+
+LONG_AGO = 1e6  # seconds: the age of a host on the first list that tells no start
+
+
+class Door:
+    """Hosts by name outside, by index inside. An index is never used again: orders name hosts by it."""
+
+    def __init__(self, settings, log):
+        self.zones = {zone["name"]: at for at, zone in enumerate(settings["zone"])}
+        self.log, self.index, self.entries, self.machines, self.started = log, {}, [], {}, {}
+        self.listed = False
+
+    def roster(self, listing, now):
+        """The planner's event for a Listing, and the indices of the hosts in it."""
+        members = []
+        for entry in listing.hosts:
+            zone = self.zones.get(entry.zone)
+            if zone is None:
+                self.log("list entry left out", host=entry.name, why=f"zone {entry.zone!r} is not in the settings")
+                continue
+            at = self.index.setdefault(entry.name, len(self.entries))
+            self.entries[at:at + 1] = [entry]
+            machine = self.machines.setdefault(entry.machine, len(self.machines))
+            members.append(our.Member(at, entry.name.encode(), zone, machine, entry.pod, entry.phase,
+                                      entry.weight, self.start_of(entry, listing.written, now)))
+        self.listed = self.listed or listing.scope != "unavailable"
+        return our.Roster(listing.scope, listing.version, tuple(members))
+
+    def start_of(self, entry, written, now):
+        """On our clock: the list's two times are by one clock, whichever it is, so their difference holds.
+        A process keeps the start that it was first seen with, or each new list would start it anew."""
+        key = entry.name, entry.started
+        if key not in self.started:
+            known = written > 0 and entry.started > 0
+            age = max(0.0, written - entry.started) if known else (0.0 if self.listed else LONG_AGO)
+            self.started = {k: v for k, v in self.started.items() if k[0] != entry.name}
+            self.started[key] = now - age
+        return self.started[key]
--- /dev/null
+++ b/peatlead/steward/steward.py
@@ -0,0 +1,272 @@
+"""The steward: events in, orders out, and everything between them and the sockets."""
+
+import asyncio
+import traceback
+from ipaddress import ip_address
+from random import Random
+
+from .. import interface as our
+from ..choice import Planner
+from ..dns.answers import Answers
+from ..dns.server import DnsFront
+from ..dns.thin import Thinning
+from ..dns.views import Views
+from ..probes.news import News
+from ..probes.prober import Prober
+from ..sources.file import FileSource
+from ..sources.listing import Memory
+from .channel import Channel, Publisher, ViewState
+from .control import Control
+from .door import Door
+from .facts import facts_of
+
+
+class Steward:
+    """One steward of a settings map.
+
+    `log(event, **fields)`; `planner(facts, seed)` makes the decisions; `folder` keeps what outlives it.
+    `await start()` opens sockets (OSError where it can't); `ended` is a future: "stopped", or the error.
+    """
+
+    def __init__(self, settings, name, log, planner=Planner, folder=None, source=FileSource):
+        self.settings, self.log = settings, log
+        self.me = next(one for one in settings["steward"] if one["name"] == name)
+        self.loop = asyncio.get_running_loop()
+        self.ended = self.loop.create_future()
+        chance = Random(self.me["seed"])
+        self.views = Views(settings)
+        self.numbers = [view.number for view in self.views.views]
+        self.planner = planner(facts_of(settings, self.me, len(self.numbers)), self.me["seed"])
+        self.answers = Answers(settings, self.views, chance.uniform)
+        self.front = DnsFront(settings["dns"], self.answers)
+        self.door = Door(settings, log)
+        limits = settings["limits"]
+        self.channel = Channel(limits["channel_rate"], limits["message_head"], limits["queue_most"])
+        self.publisher = Publisher()
+        self.states = [ViewState() for _ in self.numbers]
+        self.services = service_kinds(settings)
+        self.thinning = Thinning({(view.index, at): view.rate for view in self.views.views
+                                  for at in range(len(self.services))})
+        kinds = [kind["name"] for kind in settings["request_kind"]]
+        self.levels, self.kinds = {}, kinds
+        self.news = News(kinds, self.view_of, self.views_zone(), settings["choices"]["sums_every"])
+        self.prober = Prober(settings["probes"], self.me["listen"][0], self.on_probe, self.levels_text)
+        self.memory = Memory(folder and f"{folder}/list-{name}")
+        self.source = source(settings["node_list"], self.on_listing, log)
+        self.control = Control({"answer": self.tell_answer, "status": self.tell_status})
+        self.inbox, self.step_due, self.pump_due, self.networks = [], False, None, {}
+        self.fresh_for, self.decided, self.slowest = limits["bare_most"] / 4, 0, 0.0
+
+    def views_zone(self):
+        return [zone["name"] for zone in self.settings["zone"]].index(self.me["zone"])
+
+    # Its life.
+
+    async def start(self):
+        await self.front.open(self.me["listen"])
+        await self.control.open(self.me["control"])
+        listing, why = self.memory.recall()
+        if listing:
+            self.on_listing(listing)
+        else:
+            self.log("no list remembered", why=why)
+        for view in self.views.views:
+            self.publisher.join(view.number)
+            self.hear(our.ProxyJoined(view.number, view.zone, view.rate, True))
+        self.source.start()
+        self.log("steward started", listen=str(self.me["listen"]), views=len(self.numbers))
+
+    def stop(self, why="stopped"):
+        """In order: no more answers, no more orders, then the sockets."""
+        if self.ended.done():
+            return
+        self.front.fresh_until = 0.0
+        self.source.stop()
+        self.prober.stop()
+        self.front.close()
+        self.control.close()
+        self.log("steward stopped", why=why, decided=self.decided)
+        self.ended.set_result(why)
+
+    def hear(self, event):
+        self.inbox.append(event)
+        if not self.step_due:
+            self.step_due = True
+            self.loop.call_soon(self.step)
+
+    def step(self):
+        """One batch: all that came in, one decide, all of its orders."""
+        self.step_due = False
+        if self.ended.done():
+            return
+        now = self.loop.time()
+        stalled = 0 < self.front.fresh_until < now
+        if stalled:
+            self.wake(now)
+        for event in self.news.due(now, self.numbers):
+            self.inbox.append(event)
+            self.note_rate(event)
+        events, self.inbox = self.inbox, []
+        try:
+            orders = self.planner.decide(now, events)
+        except Exception as problem:  # half decided is worse than dead: another steward answers
+            trace = traceback.extract_tb(problem.__traceback__)[-1]
+            self.log("decide failed", error=repr(problem), at=f"{trace.filename}:{trace.lineno}",
+                     events=[type(event).__name__ for event in events][:20])
+            self.stop(f"decide failed: {problem!r}")
+            return
+        self.decided += 1
+        self.slowest = max(self.slowest, self.loop.time() - now)
+        self.carry(now, orders)
+        if any(type(event) is our.TimerFired for event in events) or self.decided == 1:
+            self.refresh(now)
+
+    def wake(self, now):
+        """It stood still for longer than its answers may be trusted: first the list, then the answers."""
+        self.log("stood still", seconds=round(now - self.front.fresh_until + self.fresh_for, 3),
+                 unanswered=self.front.unanswered)
+        self.source.fetch(now)
+
+    def refresh(self, now):
+        """What was withdrawn must have reached the views before answers go out again after a stall."""
+        if self.front.fresh_until >= now or not self.channel.queue:
+            self.front.fresh_until = now + self.fresh_for
+
+    # Orders.
+
+    def carry(self, now, orders):
+        messages, marks, rest = self.publisher.take(orders)
+        for view in sorted(messages):
+            self.channel.offer(now, view, messages[view], marks.get(view, ()))
+        for order in rest:
+            kind = type(order)
+            if kind is our.SetTimer:
+                self.loop.call_later(order.delay, self.hear, our.TimerFired(order.token))
+            elif kind is our.Probe:
+                entry = self.door.entries[order.host]
+                self.prober.probe(order.host, entry.address or entry.address6)
+            elif kind is our.LogLine:
+                self.log("planner", text=order.text)
+            elif kind is our.Admit:
+                self.levels.update({at: order.level for at in order.kinds})
+            elif kind is our.FetchRoster:
+                self.loop.call_soon(lambda: self.source.fetch(self.loop.time()))
+            # WatchRoster: the file is always watched. SendPeer: stewards share nothing yet.
+        self.pump()
+
+    def pump(self):
+        """Sends what may leave now, and comes back when more may."""
+        now, changed = self.loop.time(), {}
+        if self.pump_due is not None:
+            self.pump_due.cancel()
+            self.pump_due = None
+        for number, message in self.channel.due(now):
+            view = self.views.by_number[number]
+            state = self.states[view.index]
+            state.apply(message.ops)
+            for at, kinds in enumerate(self.services):
+                changed[view.index, at] = state.lines(kinds[0])
+            for mark in message.marks:
+                self.hear(our.Applied(number, mark, now - message.offered))
+            self.control.publish({
+                "at": now, "steward": self.me["name"], "view": view.name, "lines": len(message.ops),
+                "offered": message.offered, "waiting": self.channel.waiting, "most": self.channel.most,
+                "held": [len(state.lines(kinds[0])) for kinds in self.services]})
+        if changed:
+            self.show(changed, ())
+        if self.channel.next_at is not None:
+            self.pump_due = self.loop.call_at(self.channel.next_at, self.pump)
+
+    def show(self, changed, heard):
+        """New tables or rates, as far as they change what answers name."""
+        listed = {at: entry.weight for at, entry in enumerate(self.door.entries)}
+        for seat, named in self.thinning.decide(changed, listed, heard).items():
+            self.answers.place(*seat, named, self.thinning.tables[seat])
+        for seat in changed:
+            if self.thinning.tables[seat] != self.answers.seats[seat[0]][seat[1]].weighed:
+                self.answers.place(*seat, self.thinning.named[seat], self.thinning.tables[seat])
+
+    # Events.
+
+    def on_listing(self, listing):
+        now = self.loop.time()
+        roster = self.door.roster(listing, now)
+        for member in roster.members:
+            entry = self.door.entries[member.host]
+            self.answers.know(member.host, entry.name, entry.address, entry.address6)
+            if member.phase == "ready":
+                self.answers.open_hosts.add(member.host)
+            else:
+                self.answers.open_hosts.discard(member.host)
+        self.log("list", scope=listing.scope, version=listing.version, hosts=len(listing.hosts),
+                 ready=sum(one.phase == "ready" for one in listing.hosts))
+        if listing.scope == "whole" and listing.hosts:
+            try:
+                self.memory.keep(listing)
+            except OSError as problem:
+                self.log("list not remembered", why=str(problem))
+        self.hear(roster)
+
+    def on_probe(self, host, outcome, took, report, told):
+        self.news.take(host, told, report)
+        self.news.probed(host, outcome == "ok", took)
+        self.hear(our.ProbeResult(host, outcome, took, report))
+
+    def view_of(self, network):
+        """The view of a client network as hosts tell it, remembered: hosts tell the same ones each time."""
+        if network not in self.networks:
+            if len(self.networks) > 100_000:
+                self.networks = {}
+            try:
+                address = ip_address(network)
+                self.networks[network] = self.views.of_network(address, address.max_prefixlen).view
+            except ValueError:
+                self.networks[network] = None
+        return self.networks[network]
+
+    def note_rate(self, event):
+        if type(event) is our.ReqSums:
+            view = self.views.by_number[event.proxy]
+            heard = [((view.index, at), event.reqs / event.span)
+                     for at, kinds in enumerate(self.services) if event.kind in kinds]
+            self.show({}, heard)
+
+    def levels_text(self):
+        return ",".join(f"{self.kinds[at]}={level}" for at, level in sorted(self.levels.items()))
+
+    # Operators.
+
+    def tell_answer(self, question):
+        """What a view would be told now, and why."""
+        view = self.views.by_name.get(question.view) or next(
+            (v for v in self.views.views if v.name == question.view), None)
+        service = self.answers.services.get(question.service or self.settings["service"][0]["label"])
+        if view is None or service is None:
+            return {"error": f"expected a view and a service of the settings, got {question.view!r} "
+                             f"and {question.service!r}"}
+        seat = self.answers.seats[view.index][service]
+        names = self.door.entries
+        lines = [{"host": names[h].name, "address": names[h].address, "zone": names[h].zone, "weight": w,
+                  "listed": names[h].weight, "named": h in seat.lines} for h, w in sorted(seat.weighed.items())]
+        return {"view": view.name, "zone": self.settings["zone"][view.zone]["name"],
+                "lifetime": self.answers.lifetime if seat.lasting else 0, "lines": lines,
+                "fresh": self.front.fresh_until >= self.loop.time()}
+
+    def tell_status(self, _):
+        return {
+            "steward": self.me["name"], "views": len(self.numbers), "hosts": len(self.door.entries),
+            "decided": self.decided, "slowest_decide": self.slowest, "answers": dict(self.answers.counts),
+            "unanswered": self.front.unanswered, "prepared": self.answers.prepared,
+            "channel": {"waiting": self.channel.waiting, "deepest": self.channel.deepest,
+                        "most": self.channel.most, "past": self.channel.past},
+            "probes_dropped": self.prober.dropped, "levels": self.levels_text(),
+            "fresh": self.front.fresh_until >= self.loop.time()}
+
+
+def service_kinds(settings):
+    """For each service the indices of its request kinds."""
+    kinds = {kind["name"]: at for at, kind in enumerate(settings["request_kind"])}
+    return [[kinds[name] for name in service["kinds"]] for service in settings["service"]]
+
+
+
