--- /dev/null
+++ b/peatlead/cli.py
@@ -0,0 +1,192 @@
+"""The command line: `peatlead run|check|day|rules|answer|status`."""
+
+import asyncio
+import json
+import logging
+import signal
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+import structlog
+
+from .settings import BadSettings, read_settings
+from .settings.shapes import reference
+
+PLANNERS = ("shards", "plain")
+
+
+def settings_or_exit(path):
+    try:
+        return read_settings(path)
+    except BadSettings as problem:
+        raise click.ClickException(str(problem)) from None
+
+
+def begin_log(form):
+    """One event a line on standard error: JSON for machines, or text."""
+    shape = structlog.processors.JSONRenderer() if form == "json" else structlog.dev.ConsoleRenderer(colors=False)
+    structlog.configure(
+        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"), shape],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr))
+
+
+def steward_of(settings, name):
+    names = [one["name"] for one in settings["steward"]]
+    if name is None and len(names) == 1:
+        return settings["steward"][0]
+    if name not in names:
+        raise click.ClickException(f"--name: expected one of {', '.join(names)}, got {name!r}")
+    return settings["steward"][names.index(name)]
+
+
+@click.group()
+@click.version_option(package_name="peatlead")
+def main():
+    """Steers traffic by publishing weights to plain proxies and DNS clients."""
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+@click.option("--name", help="which steward of FILE this is")
+@click.option("--state", type=click.Path(file_okay=False), help="folder for what outlives a restart")
+@click.option("--planner", type=click.Choice(PLANNERS), default="shards", help="plain: the baseline for comparison")
+@click.option("--log", type=click.Choice(("json", "text")), default="json")
+def run(file, name, state, planner, log):
+    """Runs a steward until SIGTERM or SIGINT."""
+    settings = settings_or_exit(file)
+    me = steward_of(settings, name)
+    begin_log(log)
+    sys.exit(asyncio.run(serve(settings, me["name"], state, planner)))
+
+
+async def serve(settings, name, state, planner):
+    from .choice import Planner
+    from .day.plain import PlainPlanner
+    from .steward.steward import Steward
+
+    logger = structlog.get_logger().bind(steward=name)
+    made = {"shards": Planner, "plain": PlainPlanner}[planner]
+    steward = Steward(settings, name, logger.info, made, state)
+    loop = asyncio.get_running_loop()
+    for one in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(one, steward.stop)
+    try:
+        await steward.start()
+    except OSError as problem:
+        logger.error("cannot start", why=str(problem))
+        return 1
+    return 0 if await steward.ended == "stopped" else 3
+
+
+@main.command()
+@click.argument("file", type=click.Path(), required=False)
+@click.option("--reference", "show_reference", is_flag=True, help="print every setting and what it means")
+def check(file, show_reference):
+    """Checks a settings script; an error names file, line and what was expected."""
+    if show_reference:
+        click.echo(reference())
+        return
+    if file is None:
+        raise click.UsageError("expected FILE or --reference")
+    settings = settings_or_exit(file)
+    click.echo(f"{file}: {len(settings['steward'])} stewards, {len(settings['view'])} views and "
+               f"{settings['dns']['open_views']} open ones, {len(settings['request_kind'])} request kinds: usable")
+
+
+@main.command()
+@click.argument("script", type=click.Path())
+@click.option("--planner", type=click.Choice((*PLANNERS, "both")), default="shards")
+@click.option("--out", type=click.Path(file_okay=False), help="folder for settings, record and logs")
+def day(script, planner, out):
+    """Plays a day script against stand-ins and checks the five rules from what crossed the sockets."""
+    from .day.script import read_day
+    try:
+        made = read_day(script)
+    except BadSettings as problem:
+        raise click.ClickException(str(problem)) from None
+    folder = Path(out or tempfile.mkdtemp(prefix="peatlead-day-"))
+    reports = {}
+    for one in PLANNERS if planner == "both" else (planner,):
+        reports[one] = play_one(made, folder / one, one)
+    if planner == "both":
+        compare(reports)
+    click.echo(f"record and logs: {folder}")
+    sys.exit(0 if reports.get("shards", reports.get("plain")).kept else 1)
+
+
+def play_one(made, folder, planner):
+    from .day.play import Day
+    from .rules.show import as_data, show
+    if planner == "plain":
+        made = {**made, "steering": {**made["steering"], "addresses": 32}}
+    report = asyncio.run(Day(made, folder, planner).play())
+    show(report, {"shards": "peatlead", "plain": "plain baseline (every host in every answer, no health)"}[planner])
+    (folder / "report.json").write_text(json.dumps(as_data(report), indent=1))
+    return report
+
+
+def compare(reports):
+    from rich.console import Console
+    from rich.table import Table
+    table = Table(title="service, side by side", title_justify="left")
+    for name in ("request kind", "peatlead", "plain", "not served: peatlead", "not served: plain"):
+        table.add_column(name, justify="right")
+    ours, plain = reports["shards"].service, reports["plain"].service
+    for kind in ours:
+        lost = [sum(many for outcome, many in one[kind]["outcomes"].items() if outcome not in ("done", "late"))
+                for one in (ours, plain)]
+        table.add_row(kind, f"{ours[kind]['part']:.4f}", f"{plain[kind]['part']:.4f}", *map(str, lost))
+    Console(width=118).print(table)
+
+
+@main.command()
+@click.argument("folder", type=click.Path(exists=True, file_okay=False))
+def rules(folder):
+    """Checks a day's record again."""
+    from .rules.check import check as check_rows
+    from .rules.record import read_folder
+    from .rules.show import show
+    settings = settings_or_exit(str(Path(folder) / "settings.star"))
+    kinds = {kind["name"]: kind["gain"] for kind in settings["request_kind"]}
+    report = check_rows(read_folder(folder), settings["limits"], kinds)
+    show(report, folder)
+    sys.exit(0 if report.kept else 1)
+
+
+def ask(file, name, question):
+    from .steward.control import ask_once
+    me = steward_of(settings_or_exit(file), name)
+    try:
+        answer = asyncio.run(ask_once(me["control"], question))
+    except (OSError, asyncio.TimeoutError) as problem:
+        raise click.ClickException(f"steward {me['name']} at {me['control']}: {problem or 'no answer'}") from None
+    if "error" in answer:
+        raise click.ClickException(answer["error"])
+    return answer
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+@click.argument("view")
+@click.option("--service", default="", help="label of the service; the first of FILE if not given")
+@click.option("--name", help="which steward of FILE to ask")
+def answer(file, view, service, name):
+    """What VIEW would be told now, asked of a running steward."""
+    told = ask(file, name, {"ask": "answer", "view": view, "service": service})
+    click.echo(f"{told['view']} (zone {told['zone']}): lifetime {told['lifetime']} s"
+               + ("" if told["fresh"] else "; the steward stands still and answers nobody"))
+    for line in told["lines"]:
+        ramp = "" if line["weight"] >= line["listed"] else f", ramping to {line['listed']:g}"
+        named = "" if line["named"] else ", not named in addresses yet"
+        click.echo(f"  {line['host']} {line['address']} zone {line['zone']} weight {line['weight']:g}{ramp}{named}")
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+@click.option("--name", help="which steward of FILE to ask")
+def status(file, name):
+    """Counts of a running steward."""
+    click.echo(json.dumps(ask(file, name, {"ask": "status"}), indent=1))
--- /dev/null
+++ b/peatlead/rules/check.py
@@ -0,0 +1,163 @@
+"""The five rules, and service, read from the record of the sockets. Pure: rows in, findings out.
+
+Each rule gives its nearest approach as a part of its limit: 1 or more is a breach. Nothing of a steward's
+insides is read, but for what its feed sent over a socket (messages, lines that wait).
+"""
+
+from collections import Counter, defaultdict, deque
+from typing import NamedTuple
+
+KEEP_THE_RFC = ("keeps", "stale")  # RFC 8767 allows stale answers only while no server answers
+WHOLE_MANY = 5  # breaches that are named one by one
+
+
+class Finding(NamedTuple):
+    """`nearest`: part of the limit; `breaches`: how many; `said`: the nearest or the breaches, in words."""
+    rule: str
+    nearest: float
+    breaches: int
+    said: str
+
+
+class Report(NamedTuple):
+    findings: list
+    service: dict  # request kind -> {"reqs", "part", outcomes}
+    late_sends: dict  # resolver kind -> {"after grace", "worst": seconds past the grace}
+    answers: dict  # resolver kind -> answers
+    rows: int
+    torn: int
+
+    @property
+    def kept(self):
+        return all(not finding.breaches for finding in self.findings)
+
+
+def check(read, limits, kinds):
+    """`read`: record.Read; `limits`: the settings' limits; `kinds`: {request kind: gain}."""
+    rows = defaultdict(list)
+    for row in read.rows:
+        rows[row.kind].append(row)
+    drain, late_sends = drains(rows, limits)
+    findings = [bare(rows, limits), twice(rows), drain, cold(rows), channel(rows, limits)]
+    answers = Counter(row.resolver for row in rows["answer"])
+    return Report(findings, service(rows["req"], kinds), late_sends, dict(answers), len(read.rows), read.torn)
+
+
+def finding(rule, nearest, said, breaches=None):
+    return Finding(rule, nearest, int(nearest >= 1) if breaches is None else breaches, said)
+
+
+def bare(rows, limits):
+    """1. How long a view had no line at a steward: by the answers that named none, and by the feed."""
+    spans = Spans()
+    for row in sorted(rows["answer"] + rows["message"] + rows["steward"], key=lambda row: row.at):
+        if row.kind == "steward":
+            spans.forget(row.steward)  # what a killed one held is no more its duty
+        elif row.kind == "message":
+            spans.note((row.steward, row.view), row.at, min(row.held, default=0) > 0)
+        elif row.rcode != "none":
+            spans.note((row.steward, row.view), row.at, bool(row.addresses))
+    worst, where = spans.worst()
+    return finding("1 a line to pick", worst / limits["bare_most"],
+                   f"longest {worst:.2f} s of {limits['bare_most']} s" + (f" ({where[1]} at {where[0]})" if where else ""))
+
+
+class Spans:
+    """For each key the longest time from a bad sign to the next good one."""
+
+    def __init__(self):
+        self.since, self.found, self.last = {}, (0.0, None), 0.0
+
+    def note(self, key, at, good):
+        self.last = at
+        if not good:
+            self.since.setdefault(key, at)
+        elif key in self.since:
+            self.found = max(self.found, (at - self.since.pop(key), key), key=lambda one: one[0])
+
+    def forget(self, steward):
+        self.since = {key: at for key, at in self.since.items() if key[0] != steward}
+
+    def worst(self):
+        still = [(self.last - at, key) for key, at in self.since.items()]
+        return max([self.found, *still], key=lambda one: one[0])
+
+
+def twice(rows):
+    """2. Reqs that may not run twice and did; replayable ones may."""
+    seen = Counter((row.req, row.repeat) for row in rows["effect"] if row.repeat != "replayable")
+    doubled = [(req, repeat, many) for (req, repeat), many in seen.items() if many > 1]
+    said = f"{len(seen)} effects, none twice" if not doubled else ", ".join(
+        f"{req} ({repeat}) {many} times" for req, repeat, many in doubled[:WHOLE_MANY])
+    return finding("2 no effect twice", float(len(doubled)), said, len(doubled))
+
+
+def drains(rows, limits):
+    """3. Sends to a host after the list told that it drains or is gone, by kind of resolver."""
+    grace, told, worst, breaches, named = limits["drain_grace"], {}, 0.0, 0, []
+    late = defaultdict(lambda: {"sends": 0, "after grace": 0, "worst": 0.0})
+    for row in sorted(rows["list"] + rows["try"], key=lambda row: row.at):
+        if row.kind == "list":
+            for address, phase in row.hosts.values() if row.told else ():
+                if phase == "ready":
+                    told.pop(address, None)
+                else:
+                    told.setdefault(address, row.at)
+        elif row.outcome == "sent":
+            late[row.resolver]["sends"] += 1
+            past = row.at - told.get(row.address, row.at)
+            kind = late[row.resolver]
+            kind["worst"] = max(kind["worst"], past - grace if past else 0.0)
+            kind["after grace"] += past > grace
+            if row.resolver in KEEP_THE_RFC:
+                worst = max(worst, past / grace)
+                if past > grace:
+                    breaches += 1
+                    named.append(f"{row.address} {past:.2f} s ({row.view}, {row.habit})")
+    said = f"last send {worst * grace:.2f} s of {grace} s" + (": " + ", ".join(named[:WHOLE_MANY]) if named else "")
+    return finding("3 drains kept", worst, said, breaches), dict(late)
+
+
+def cold(rows):
+    """4. Work offered to cold hosts, as a part of what tips them; and hosts that did tip."""
+    nearest = max(rows["cold"], key=lambda row: row.part, default=None)
+    tipped = sorted({row.host for row in rows["tipped"]})
+    said = f"tipped: {', '.join(tipped[:WHOLE_MANY])}" if tipped else (
+        f"nearest {nearest.host}" if nearest else "no host was cold")
+    return finding("4 no cold host pushed over", nearest.part if nearest else 0.0, said, len(tipped))
+
+
+def channel(rows, limits):
+    """5. Lines that wait, messages to one view within the span, and the channel's own pace."""
+    messages, spans, most_messages, deepest, pace = rows["message"], defaultdict(deque), 0, 0.0, 0.0
+    second = defaultdict(deque)
+    for row in messages:
+        deepest = max(deepest, row.waiting / row.most)
+        held = spans[row.steward, row.view]
+        held.append(row.at)
+        while row.at - held[0] > limits["messages_span"]:
+            held.popleft()
+        most_messages = max(most_messages, len(held))
+        lines = second[row.steward]
+        lines.append((row.at, row.lines + limits["message_head"]))
+        while row.at - lines[0][0] > 1.0:
+            lines.popleft()
+        pace = max(pace, sum(many for _, many in lines) / limits["channel_rate"])
+    part = most_messages / limits["messages_most"] if limits["messages_most"] else 0.0
+    said = (f"deepest {deepest:.2f} of the limit, {most_messages} messages to one view in "
+            f"{limits['messages_span']:.0f} s, pace {pace:.2f} of what was told, {len(messages)} messages")
+    return finding("5 the queue stays short", max(deepest, part), said)
+
+
+def service(reqs, kinds):
+    """By request kind: the gain earned over the gain asked for, and what became of the reqs."""
+    found = {}
+    for kind, gain in kinds.items():
+        mine = [row for row in reqs if row.req and row.kind == "req" and row.fields["kind"] == kind]
+        outcomes = Counter(row.outcome for row in mine)
+        earned = sum(row.gain for row in mine)
+        found[kind] = {"reqs": len(mine), "part": earned / max(1e-9, gain * len(mine)), "outcomes": dict(outcomes)}
+    whole = sum(gain * found[kind]["reqs"] for kind, gain in kinds.items())
+    found["whole"] = {"reqs": len(reqs), "part": sum(row.gain for row in reqs) / max(1e-9, whole),
+                      "outcomes": dict(Counter(row.outcome for row in reqs))}
+    return found
--- /dev/null
+++ b/peatlead/rules/show.py
@@ -0,0 +1,38 @@
+"""A report as tables for people (rich) and as plain data."""
+
+from rich.console import Console
+from rich.table import Table
+
+LOST = ("late", "errored", "denied", "shed", "timed out", "unreachable", "broken", "unresolved")
+
+
+def show(report, title, console=None):
+    console = console or Console(width=118)
+    table = Table(title=f"{title}: the five rules, from {report.rows} rows of the sockets", title_justify="left")
+    for name in ("rule", "nearest", "kept", "what was seen"):
+        table.add_column(name)
+    for rule, nearest, breaches, said in report.findings:
+        table.add_row(rule, f"{nearest:.2f}", "yes" if not breaches else f"NO ({breaches})", said)
+    console.print(table)
+    table = Table(title="service: gain earned within the response target over gain asked for", title_justify="left")
+    for name in ("request kind", "reqs", "service", *LOST):
+        table.add_column(name, justify="right")
+    for kind, found in report.service.items():
+        outcomes = found["outcomes"]
+        table.add_row(kind, str(found["reqs"]), f"{found['part']:.4f}",
+                      *(str(outcomes.get(name, 0)) for name in LOST))
+    console.print(table)
+    table = Table(title="sends to hosts past their drain's grace, by kind of resolver", title_justify="left")
+    for name in ("resolver", "answers", "sends", "after the grace", "worst past it"):
+        table.add_column(name, justify="right")
+    for kind, found in sorted(report.late_sends.items()):
+        table.add_row(kind, str(report.answers.get(kind, 0)), str(found["sends"]), str(found["after grace"]),
+                      f"{max(0.0, found['worst']):.2f} s")
+    console.print(table)
+
+
+def as_data(report):
+    return {"kept": report.kept, "rows": report.rows, "torn": report.torn, "service": report.service,
+            "late_sends": report.late_sends, "answers": report.answers,
+            "rules": {f.rule: {"nearest": f.nearest, "breaches": f.breaches, "said": f.said}
+                      for f in report.findings}}
