--- a/peatlead/cli.py
+++ b/peatlead/cli.py
@@ -108,24 +108,28 @@
     except BadSettings as problem:
         raise click.ClickException(str(problem)) from None
     folder = Path(out or tempfile.mkdtemp(prefix="peatlead-day-"))
-    reports = {}
-    for one in PLANNERS if planner == "both" else (planner,):
-        reports[one] = play_one(made, folder / one, one)
+    chosen = PLANNERS if planner == "both" else (planner,)
+    reports = asyncio.run(play_all(made, folder, chosen))
+    for one, report in reports.items():
+        show_one(report, folder / one, one)
     if planner == "both":
         compare(reports)
     click.echo(f"record and logs: {folder}")
-    sys.exit(0 if reports.get("shards", reports.get("plain")).kept else 1)
+    sys.exit(0 if reports[chosen[0]].kept else 1)
 
 
-def play_one(made, folder, planner):
+async def play_all(made, folder, planners):
+    """Side by side, so that the machine's own moods strike all alike."""
     from .day.play import Day
+    plain = {**made, "steering": {**made["steering"], "addresses": 32}}  # every host in every answer
+    days = [Day(plain if one == "plain" else made, folder / one, one) for one in planners]
+    return dict(zip(planners, await asyncio.gather(*(day.play() for day in days))))
+
+
+def show_one(report, folder, planner):
     from .rules.show import as_data, show
-    if planner == "plain":
-        made = {**made, "steering": {**made["steering"], "addresses": 32}}
-    report = asyncio.run(Day(made, folder, planner).play())
     show(report, {"shards": "peatlead", "plain": "plain baseline (every host in every answer, no health)"}[planner])
     (folder / "report.json").write_text(json.dumps(as_data(report), indent=1))
-    return report
 
 
 def compare(reports):
--- a/peatlead/dns/answers.py
+++ b/peatlead/dns/answers.py
@@ -46,10 +46,11 @@
 class Seat:
     """One view at one service: the lines that its answers are drawn from, and the orders drawn ahead."""
 
-    __slots__ = ("lines", "weighed", "lasting", "version", "rings")
+    __slots__ = ("lines", "weighed", "lasting", "places", "version", "rings")
 
     def __init__(self):
-        self.lines, self.weighed, self.lasting, self.version, self.rings = {}, {}, True, 0, {}
+        self.lines, self.weighed, self.rings = {}, {}, {}
+        self.lasting, self.places, self.version = True, 1, 0
 
 
 class Ring:
@@ -129,7 +130,7 @@
 
     def place(self, view, service, named, weighed):
         seat = self.seats[view][service]
-        seat.lines, seat.lasting, seat.weighed = named.lines, named.lasting, weighed
+        seat.lines, seat.lasting, seat.places, seat.weighed = *named, weighed
         seat.version += 1
         seat.rings = {}
         self.serial = self.serial % 0xFFFFFFFF + 1
@@ -153,7 +154,7 @@
         ring = seat.rings.get(family)
         if ring is None:
             lines = {h: w for h, w in seat.lines.items() if self.hosts[h].at[family]}
-            places = self.settings["addresses"]
+            places = max(seat.places, self.settings["addresses"])
             ring = seat.rings[family] = Ring(orders(lines, places, RING, self.draw(0.0, 1.0)))
         return ring
 
--- a/peatlead/dns/thin.py
+++ b/peatlead/dns/thin.py
@@ -9,19 +9,28 @@
 
 A view with nothing but ramping hosts names them all: it must name some (rule 1). Its answers then get no
 lifetime (RFC 1035 section 3.2.1: for this transaction only), so that each resolution is a draw of its own.
+
+The same coarseness heats warm hosts: a view that brings a tenth of all reqs gives its two addresses a
+twentieth each for a lifetime. So a busy view's answers name more hosts, and those of one that brings more
+than a host's fair part get no lifetime either, since many clients only ever take the first address.
 """
 
+from math import ceil
 from typing import NamedTuple
 
 RAMPING = 0.999  # of the listed weight: below, the planner holds a host back
 LEAST_RATE = 0.05  # reqs a second that any view is counted with, however silent: it may wake
+FAIR = 0.25  # of a host's fair part: more should not hang on one address of one answer
+WHOLE = 1.0  # of a host's fair part: a view that brings more gets answers that nobody may keep
 CALMS = 0.9  # what is left of a view's rate after a round that told less: it falls slowly, rises at once
 
 
 class Named(NamedTuple):
-    """`lines`: host -> weight that answers are drawn by; `lasting`: whether they may be kept."""
+    """`lines`: host -> weight that answers are drawn by; `lasting`: whether they may be kept; `places`: how
+    many addresses an answer should have at least."""
     lines: dict
     lasting: bool
+    places: int = 1
 
 
 class Thinning:
@@ -42,9 +51,11 @@
     def decide(self, changed, listed, heard=()):
         """`changed`: {view: {host: weight}}, whole tables; `listed`: {host: its whole weight};
         `heard`: [(view, reqs a second)], as the last round told."""
+        touched = set(changed)
         for view, rate in heard:
             self.rates[view] = max(LEAST_RATE, rate, self.rates.get(view, 0.0) * CALMS)
-        touched = set(changed)
+            touched |= {view} & self.tables.keys()
+        self.fair = sum(self.rates.values()) / max(1, sum(1 for views in self.holders.values() if views))
         for view, table in changed.items():
             for host in self.tables.get(view, {}).keys() - table.keys():
                 self.holders[host].discard(view)
@@ -81,12 +92,14 @@
 
     def name(self, view, takers, listed):
         table, lines = self.tables[view], {}
+        parts = self.rates.get(view, 1.0) / max(1e-9, self.fair)  # of a host's fair part of all reqs
         for host, weight in table.items():
             if host not in takers:
                 lines[host] = weight
             elif view in takers[host]:
                 lines[host] = listed.get(host, weight)
         whole = [host for host in table if host not in takers]
+        places = min(len(table), ceil(parts / FAIR))
         if whole:
-            return Named(lines, True)
-        return Named(dict(table), False)
+            return Named(lines, parts <= WHOLE, places)
+        return Named(dict(table), False, places)
--- a/peatlead/rules/check.py
+++ b/peatlead/rules/check.py
@@ -58,8 +58,8 @@
         elif row.rcode != "none":
             spans.note((row.steward, row.view), row.at, bool(row.addresses))
     worst, where = spans.worst()
-    return finding("1 a line to pick", worst / limits["bare_most"],
-                   f"longest {worst:.2f} s of {limits['bare_most']} s" + (f" ({where[1]} at {where[0]})" if where else ""))
+    said = f"longest {worst:.2f} s of {limits['bare_most']} s" + (f" ({where[1]} at {where[0]})" if where else "")
+    return finding("1 a line to pick", worst / limits["bare_most"], said)
 
 
 class Spans:
--- a/peatlead/standin/desks.py
+++ b/peatlead/standin/desks.py
@@ -113,7 +113,9 @@
         tries, outcome, address, deadline = 0, "unresolved", None, due + kind.client_timeout
         waits = 0.0
         while tries <= self.plan.retries and self.loop.time() < deadline:
-            outcome, address, again = await self.attempt(req, kind, client, deadline, tries, address)
+            met, address, again = await self.attempt(req, kind, client, deadline, tries, address)
+            if met != "unresolved" or not tries:
+                outcome = met  # a second try for which no time was left tells nothing of the first
             tries += 1
             if not again:
                 break
@@ -201,7 +203,7 @@
         elif said["do"] == "desk":
             plan = msgspec.convert(said["plan"], Plan)
             self.desks.append(Desk(plan, self.resolvers[plan.resolver], self.chance, self.record,
-                                   f"{said['number']}"))
+                                   str(said["desk"])))
         elif said["do"] == "begin":
             for desk in self.desks:
                 desk.begin(said["at"])
--- a/peatlead/steward/steward.py
+++ b/peatlead/steward/steward.py
@@ -103,9 +103,9 @@
         stalled = 0 < self.front.fresh_until < now
         if stalled:
             self.wake(now)
-        for event in self.news.due(now, self.numbers):
-            self.inbox.append(event)
-            self.note_rate(event)
+        news = self.news.due(now, self.numbers)
+        self.inbox += news
+        self.note_rates(news)
         events, self.inbox = self.inbox, []
         try:
             orders = self.planner.decide(now, events)
@@ -224,12 +224,17 @@
                 self.networks[network] = None
         return self.networks[network]
 
-    def note_rate(self, event):
-        if type(event) is our.ReqSums:
-            view = self.views.by_number[event.proxy]
-            heard = [((view.index, at), event.reqs / event.span)
-                     for at, kinds in enumerate(self.services) if event.kind in kinds]
-            self.show({}, heard)
+    def note_rates(self, events):
+        """What views bring, by service: answers depend on it (dns/thin.py)."""
+        heard = {}
+        for event in events:
+            if type(event) is our.ReqSums:
+                view = self.views.by_number[event.proxy].index
+                for at, kinds in enumerate(self.services):
+                    if event.kind in kinds:
+                        heard[view, at] = heard.get((view, at), 0.0) + event.reqs / event.span
+        if heard:
+            self.show({}, sorted(heard.items()))
 
     def levels_text(self):
         return ",".join(f"{self.kinds[at]}={level}" for at, level in sorted(self.levels.items()))
