--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# make day: the main job, a bad day beside a plain baseline. make test: all tests. Both set up what they need.
+PY := .venv/bin/python
+READY := .venv/ready-$(shell cksum pyproject.toml | cut -d' ' -f1)
+
+.PHONY: day test lint setup kinds
+
+day: $(READY)
+	$(PY) -m peatlead day days/bad.star --planner both --out found/day
+
+test: $(READY)
+	$(PY) -m unittest discover -s tests -t . -v
+
+lint: $(READY)
+	.venv/bin/ruff check .
+	.venv/bin/lint-imports
+	@awk 'length > 110 { print FILENAME ":" FNR ": over 110 characters"; bad = 1 } END { exit bad }' peatlead/choice.py
+	@test "$$(grep -c . peatlead/choice.py)" -le 710 || { echo "policy files over 710 lines"; exit 1; }
+
+kinds: $(READY)
+	$(PY) -m peatlead kinds --out found/kinds
+
+setup: $(READY)
+
+$(READY):
+	test -x $(PY) || python3 -m venv .venv
+	$(PY) -m pip -q install --disable-pip-version-check -e '.[test]'
+	rm -f .venv/ready-*
+	touch $@
--- a/peatlead/day/play.py
+++ b/peatlead/day/play.py
@@ -91,7 +91,7 @@
 
     async def run(self):
         await asyncio.sleep(SETTLE)
-        for at, child in [*self.stewards.items(), *enumerate(self.children)]:
+        for child in [*self.stewards.values(), *self.children]:
             if child.poll() is not None:
                 raise RuntimeError(f"a process ended before the day began: {' '.join(child.args[2:5])}; "
                                    f"its log is in {self.folder}")
--- a/peatlead/dns/answers.py
+++ b/peatlead/dns/answers.py
@@ -87,7 +87,7 @@
     def build(self, order):
         lifetime = self.front.lifetime if self.seat.lasting else 0
         records = [self.front.record(host, self.family, lifetime) for host in order]
-        room = (self.limit - len(self.head) - len(self.tail)) // len(records[0])
+        room = (self.limit - 2 - len(self.head) - len(self.tail)) // len(records[0])  # 2: the id
         records = records[:room]  # fewer addresses than asked for still serve: no need to come again by TCP
         flags, question = self.head[:2], self.head[10:]
         counts = struct.pack(">HHHH", 1, len(records), 0, 1 if self.tail else 0)
--- a/peatlead/dns/thin.py
+++ b/peatlead/dns/thin.py
@@ -4,8 +4,8 @@
 gives the hosts that it names the whole of a desk for a lifetime. A cold host at a tenth of its weight, in
 a tenth of a busy view's answers, gets all of that view one lifetime in ten, and is pushed over though the
 mean is right. So the small part is made of *views*, not of *answers*: a host that ramps is named, at its
-full weight, by just so many small views that all of them together, whole, bring no more than the planner
-meant it to have; the others name it not at all. As its weight grows, more views name it.
+full weight, by just so many small views that they bring on average what the planner meant it to have, and
+none of them, whole, more than that; the others name it not at all. As its weight grows, more views name it.
 
 A view with nothing but ramping hosts names them all: it must name some (rule 1). Its answers then get no
 lifetime (RFC 1035 section 3.2.1: for this transaction only), so that each resolution is a draw of its own.
@@ -15,11 +15,12 @@
 than a host's fair part get no lifetime either, since many clients only ever take the first address.
 """
 
-from math import ceil
+from math import ceil, sqrt
 from typing import NamedTuple
 
 RAMPING = 0.999  # of the listed weight: below, the planner holds a host back
 LEAST_RATE = 0.05  # reqs a second that any view is counted with, however silent: it may wake
+SIGMAS, SURGE = 3.0, 2.5  # a draw this bad must stay under this multiple of what was meant
 FAIR = 0.25  # of a host's fair part: more should not hang on one address of one answer
 WHOLE = 1.0  # of a host's fair part: a view that brings more gets answers that nobody may keep
 CALMS = 0.9  # what is left of a view's rate after a round that told less: it falls slowly, rises at once
@@ -51,7 +52,7 @@
     def decide(self, changed, listed, heard=()):
         """`changed`: {view: {host: weight}}, whole tables; `listed`: {host: its whole weight};
         `heard`: [(view, reqs a second)], as the last round told."""
-        touched = set(changed)
+        touched, self.listed = set(changed), listed
         for view, rate in heard:
             self.rates[view] = max(LEAST_RATE, rate, self.rates.get(view, 0.0) * CALMS)
             touched |= {view} & self.tables.keys()
@@ -70,34 +71,38 @@
             touched |= self.holders.get(host, set())
         self.ramping, news = ramping, {}
         for view in sorted(touched):
-            now = self.name(view, takers, listed)
+            now = self.name(view, takers)
             if now != self.named.get(view):
                 news[view] = self.named[view] = now
         return news
 
     def takers(self, host):
-        """The views that name a ramping host: the smallest first, as many as its planned part can bear whole."""
+        """The views that name a ramping host, the smallest first: no one of them brings more, whole, than the
+        host was meant to have; on average all of them bring that; and a bad draw stays well under what tips
+        it, which the planner keeps at over three times what it means the host to have."""
         planned, views = 0.0, []
         for view in self.holders[host]:
             table, rate = self.tables[view], self.rates.get(view, 1.0)
-            planned += rate * table[host] / sum(table.values())
-            views.append((rate, view))
-        chosen, used = set(), 0.0
-        for rate, view in sorted(views):
-            if used + rate > planned:
+            total = sum(table.values())
+            planned += rate * table[host] / total
+            whole = self.listed.get(host, table[host])
+            views.append((rate, view, whole / (total - table[host] + whole)))
+        chosen, mean, spread = set(), 0.0, 0.0
+        for rate, view, part in sorted(views):
+            mean, spread = mean + rate * part, spread + rate * rate * part * (1 - part)
+            if rate > planned or mean > planned or mean + SIGMAS * sqrt(spread) > SURGE * planned:
                 break
-            used += rate
             chosen.add(view)
         return chosen
 
-    def name(self, view, takers, listed):
+    def name(self, view, takers):
         table, lines = self.tables[view], {}
         parts = self.rates.get(view, 1.0) / max(1e-9, self.fair)  # of a host's fair part of all reqs
         for host, weight in table.items():
             if host not in takers:
                 lines[host] = weight
             elif view in takers[host]:
-                lines[host] = listed.get(host, weight)
+                lines[host] = self.listed.get(host, weight)
         whole = [host for host in table if host not in takers]
         places = min(len(table), ceil(parts / FAIR))
         if whole:
--- /dev/null
+++ b/peatlead/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements as commands: what they print is kept in docs/results/."""
--- a/peatlead/rules/check.py
+++ b/peatlead/rules/check.py
@@ -48,41 +48,38 @@
 
 
 def bare(rows, limits):
-    """1. How long a view had no line at a steward: by the answers that named none, and by the feed."""
-    spans = Spans()
+    """1. How long a view had no line at a steward: by what the steward's messages left it with, and by runs of
+    answers that named none. A killed steward's duty ends; a frozen one gives no answers."""
+    worst, where, held, empty = 0.0, None, {}, {}
+    last = max((row.at for row in rows["message"] + rows["answer"]), default=0.0)
+
+    def note(span, key):
+        nonlocal worst, where
+        if span > worst:
+            worst, where = span, key
+
     for row in sorted(rows["answer"] + rows["message"] + rows["steward"], key=lambda row: row.at):
         if row.kind == "steward":
-            spans.forget(row.steward)  # what a killed one held is no more its duty
+            held = {key: at for key, at in held.items() if key[0] != row.steward}
+            empty = {}
         elif row.kind == "message":
-            spans.note((row.steward, row.view), row.at, min(row.held, default=0) > 0)
+            key = row.steward, row.view
+            if min(row.held, default=0) > 0:
+                note(row.at - held.pop(key, row.at), key)
+            else:
+                held.setdefault(key, row.at)
         elif row.rcode != "none":
-            spans.note((row.steward, row.view), row.at, bool(row.addresses))
-    worst, where = spans.worst()
+            key = row.steward, row.view
+            if row.addresses:
+                empty.pop(key, None)
+            else:
+                note(row.at - empty.setdefault(key, row.at), key)
+    for key, at in held.items():
+        note(last - at, key)
     said = f"longest {worst:.2f} s of {limits['bare_most']} s" + (f" ({where[1]} at {where[0]})" if where else "")
     return finding("1 a line to pick", worst / limits["bare_most"], said)
 
 
-class Spans:
-    """For each key the longest time from a bad sign to the next good one."""
-
-    def __init__(self):
-        self.since, self.found, self.last = {}, (0.0, None), 0.0
-
-    def note(self, key, at, good):
-        self.last = at
-        if not good:
-            self.since.setdefault(key, at)
-        elif key in self.since:
-            self.found = max(self.found, (at - self.since.pop(key), key), key=lambda one: one[0])
-
-    def forget(self, steward):
-        self.since = {key: at for key, at in self.since.items() if key[0] != steward}
-
-    def worst(self):
-        still = [(self.last - at, key) for key, at in self.since.items()]
-        return max([self.found, *still], key=lambda one: one[0])
-
-
 def twice(rows):
     """2. Reqs that may not run twice and did; replayable ones may."""
     seen = Counter((row.req, row.repeat) for row in rows["effect"] if row.repeat != "replayable")
