--- a/peatlead/standin/resolvers.py
+++ b/peatlead/standin/resolvers.py
@@ -54,6 +54,9 @@
         if waiter is not None and not waiter.done():
             waiter.set_result(data)
 
+    def close(self):
+        self.transport.close()
+
     async def lookup(self, name, network, view):
         now, key = self.loop.time(), (name, network)
         kept = self.cache.get(key)
--- a/peatlead/steward/channel.py
+++ b/peatlead/steward/channel.py
@@ -18,6 +18,12 @@
         self.ops, self.offered, self.marks = {}, now, []
 
 
+def put(ops, op, value):
+    """The newest word for a line replaces the older one and stands behind all that was said before it."""
+    ops.pop(op, None)
+    ops[op] = value
+
+
 class Channel:
     """`offer(now, view, ops)`, then `due(now)` whenever `next_at` has come."""
 
@@ -31,7 +37,8 @@
             message = self.queue[view] = Message(now)
             self.waiting += self.head
         before = len(message.ops)
-        message.ops.update(ops)
+        for op, value in ops.items():
+            put(message.ops, op, value)
         message.marks.extend(marks)
         self.waiting += len(message.ops) - before
         self.deepest = max(self.deepest, self.waiting)
@@ -95,20 +102,21 @@
         if weight:
             lines[host] = weight
         for view in self.users.get(table, ()):
-            out.setdefault(view, {})["line", table, host] = weight
+            put(out.setdefault(view, {}), ("line", table, host), weight)
 
     def bind(self, out, order):
         ops = out.setdefault(order.proxy, {})
         for kind in order.kinds:
             old = self.bound.get((order.proxy, kind))
             self.bound[order.proxy, kind] = order.table
-            ops["bind", kind] = order.table
+            put(ops, ("bind", kind), order.table)
             if old is not None and old != order.table and old not in {
                     table for (view, _), table in self.bound.items() if view == order.proxy}:
                 self.users[old].discard(order.proxy)
+                put(ops, ("left", old), True)  # or its lines would stand when the view comes back to it
         self.users.setdefault(order.table, set()).add(order.proxy)
         for host, weight in self.tables.get(order.table, {}).items():
-            ops["line", order.table, host] = weight
+            put(ops, ("line", order.table, host), weight)
 
 
 class ViewState:
@@ -128,6 +136,8 @@
                     lines[op[2]] = value
             elif op[0] == "bind":
                 self.bound[op[1]] = value
+            elif op[0] == "left":
+                self.tables.pop(op[1], None)
             elif value:
                 self.withdrawn.add(op[1])
             else:
--- a/tests/places.py
+++ b/tests/places.py
@@ -1,8 +1,22 @@
 """Settings and small worlds that tests build on."""
 
 import asyncio
+import json
+import tempfile
+from pathlib import Path
+from random import Random
 
+import dns.message
+from hypothesis import settings as effort
+
+from peatlead.choice import Planner
+from peatlead.day.play import free_port
 from peatlead.settings import load_settings
+from peatlead.standin.hosts import Host, Plan, Pods
+from peatlead.steward.steward import Steward
+
+effort.register_profile("steady", derandomize=True, deadline=None, max_examples=60)
+effort.load_profile("steady")  # the same verdict every time
 
 SCRIPT = """
 zone(name = "north")
@@ -48,3 +62,87 @@
         if loop.time() > end:
             raise AssertionError("it did not come true")
         await asyncio.sleep(0.01)
+
+
+class Quiet:
+    """In a recorder's place: keeps rows in memory."""
+
+    def __init__(self):
+        self.rows = []
+
+    def row(self, kind, at, *fields):
+        self.rows.append((kind, at, *fields))
+
+    def of(self, kind):
+        return [one for one in self.rows if one[0] == kind]
+
+
+class World:
+    """Stand-in hosts, a list file and stewards in one loop, on a port of their own."""
+
+    def __init__(self, folder, hosts=4, deep=True, cold=False, script=SCRIPT):
+        self.folder, self.port, self.record = Path(folder), free_port(), Quiet()
+        self.settings = settings(self.port, f"{folder}/nodes.json", script)
+        self.chance, self.pods, self.hosts, self.stewards, self.log = Random(4), Pods(), [], [], []
+        self.closing = []
+        self.plans = [Plan(
+            name=f"h{at}", zone=("north", "south")[at % 2], pod=0, address=f"127.10.9.{at + 1}", port=self.port,
+            cores=2, work={"look": 0.01, "file": 0.01}, repeat={"look": "replayable", "file": "non-replayable"},
+            cold_share=0.25, warm_after=12.0, tip_multiple=3.0, tip_span=1.5, deep=deep, cold=cold)
+            for at in range(hosts)]
+        self.phases, self.version, self.extra = {plan.name: "ready" for plan in self.plans}, 0, []
+
+    async def begin(self):
+        for plan in self.plans:
+            self.hosts.append(Host(plan, self.chance, self.record, self.pods))
+            await self.hosts[-1].begin()
+        self.write()
+        return self
+
+    def write(self, data=None):
+        self.version += 1
+        hosts = [{"name": plan.name, "zone": plan.zone, "address": plan.address, "phase": self.phases[plan.name]}
+                 for plan in self.plans if plan.name in self.phases]
+        said = {"version": self.version, "written": 50.0, "hosts": hosts + self.extra}
+        path = self.folder / "nodes.json"
+        path.with_suffix(".new").write_bytes(json.dumps(said).encode() if data is None else data)
+        path.with_suffix(".new").replace(path)
+
+    async def steward(self, name="ns1", planner=Planner):
+        made = Steward(self.settings, name, lambda event, **more: self.log.append((event, more)), planner,
+                       str(self.folder / "state"))
+        self.stewards.append(made)
+        await made.start()
+        return made
+
+    def named(self, steward, view="desk0", many=24):
+        """Hosts' addresses in answers to a view's resolver."""
+        peer = {"desk0": "10.1.0.1", "desk1": "10.2.0.1"}[view]
+        found = set()
+        for _ in range(many):
+            data = steward.answers.respond(dns.message.make_query("api.example.org", "A").to_wire(), peer)
+            answer = dns.message.from_wire(data)
+            found |= {str(one) for rrset in answer.answer for one in rrset}
+        return {plan.name for plan in self.plans if plan.address in found} | (
+            found - {plan.address for plan in self.plans})
+
+    def end(self):
+        for steward in self.stewards:
+            steward.stop()
+        for host in self.hosts:
+            host.stop()
+        for close in self.closing:
+            close()
+
+
+def play(case, **more):
+    """Runs `case(world)` in a world that has begun."""
+    async def whole():
+        with tempfile.TemporaryDirectory() as folder:
+            world = await World(folder, **more).begin()
+            try:
+                return await case(world)
+            finally:
+                world.end()
+                await asyncio.sleep(0.02)
+    return run(whole())
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -9,7 +9,6 @@
 import dns.opcode
 import dns.rcode
 from hypothesis import given
-from hypothesis import settings as effort
 from hypothesis import strategies as some
 
 from peatlead.dns.answers import Answers
@@ -19,8 +18,6 @@
 
 from .places import settings
 
-effort.register_profile("steady", derandomize=True, deadline=None, max_examples=60)
-effort.load_profile("steady")
 NUMBER = 261398713923410  # of "desk0", whichever steward, version or machine
 LINES = some.dictionaries(some.integers(0, 40), some.floats(0.05, 8.0), min_size=1, max_size=14)
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -252,6 +252,20 @@
         made.judge()
         self.assertEqual([h.id for h in made.hosts.values() if not h.usable], [3])
 
+    def test_where_nobody_tells_of_tries_probes_alone_convict_and_end_rounds(self):
+        for told, usable in ((True, True), (False, False)):
+            made, now = planner(tries_told=told), 100.0
+            for _ in range(40):
+                now += 0.25
+                probes = [our.ProbeResult(h, "timed out" if h == 3 else "ok", 0.1, None) for h in range(8)]
+                made.decide(now, [*probes, our.TimerFired(0)])
+            self.assertEqual((made.hosts[3].usable, any(3 in p.lines[0] for p in made.joined)), (usable, usable))
+
+    def test_proxies_whose_numbers_are_hashes_of_names_are_ranked(self):
+        made = planner()
+        orders = made.decide(101.0, [our.ProxyJoined(2**47 + 5, 0, 1.0, True)])
+        self.assertTrue(of_type(orders, our.BindTable))
+
     def test_a_slow_host_leaves_some_shards_and_a_shared_slowness_moves_nobody(self):
         made = planner()
         for all_slow in (True, False):
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,111 @@
+import tempfile
+import unittest
+from pathlib import Path
+
+from peatlead.rules.check import check
+from peatlead.rules.record import ROWS, Read, Recorder, Row, read_folder
+
+LIMITS = {"drain_grace": 3.0, "bare_most": 4.0, "messages_most": 5, "messages_span": 10.0, "message_head": 6.0,
+          "channel_rate": 1000.0}
+
+
+def row(kind, at, *fields):
+    return Row(kind, at, dict(zip(ROWS[kind], fields)))
+
+
+def answer(at, addresses, resolver="keeps", rcode="NOERROR", steward="s1"):
+    return row("answer", at, "desk0", resolver, steward, rcode, addresses, 1, 0.01)
+
+
+def sent(at, address, resolver="keeps"):
+    return row("try", at, "r1", "look", "desk0", resolver, "first", address, 0, "sent", True)
+
+
+def message(at, lines=2, waiting=0.0, held=3, steward="s1"):
+    return row("message", at, steward, "desk0", lines, waiting, 1000.0, [held])
+
+
+def listed(at, phase, told=True):
+    return row("list", at, 1, {"h1": ["a1", phase]}, told)
+
+
+def found(*rows):
+    return check(Read(sorted(rows, key=lambda one: one.at), 0), LIMITS, {"look": 2.0})
+
+
+class Planted(unittest.TestCase):
+    """A checker that cannot find a breach proves nothing: each rule is broken here on purpose."""
+
+    def broken(self, *rows):
+        return [finding.rule[0] for finding in found(*rows).findings if finding.breaches]
+
+    def test_a_clean_record_keeps_all(self):
+        self.assertEqual(self.broken(answer(1, ["a1"]), message(1), listed(0, "ready"), sent(2, "a1")), [])
+
+    def test_1_a_view_without_a_line(self):
+        self.assertEqual(self.broken(message(1, held=0), message(5.1, held=2)), ["1"])
+        self.assertEqual(self.broken(message(1, held=0), message(4.9, held=2)), [])
+        self.assertEqual(self.broken(message(1, held=0), answer(9, ["a1"], steward="s2")), ["1"])
+        self.assertEqual(self.broken(*(answer(at, [], rcode="SERVFAIL") for at in (1, 3, 5.5))), ["1"])
+        self.assertEqual(self.broken(answer(1, [], rcode="SERVFAIL"), answer(2, ["a1"]), answer(6, [])), [])
+
+    def test_1_a_killed_stewards_duty_ends(self):
+        killed = row("steward", 2, "s1", "killed")
+        self.assertEqual(self.broken(message(1, held=0), killed, answer(9, ["a1"], steward="s2")), [])
+
+    def test_2_an_effect_twice(self):
+        effects = [row("effect", at, "h1", "r1", "look", "uniqued") for at in (1, 2)]
+        self.assertEqual(self.broken(*effects), ["2"])
+        self.assertEqual(self.broken(*(row("effect", at, "h1", "r1", "look", "replayable") for at in (1, 2))), [])
+
+    def test_3_a_send_after_the_grace(self):
+        drained = [listed(0, "ready"), listed(10, "draining")]
+        self.assertEqual(self.broken(*drained, sent(12.9, "a1")), [])
+        self.assertEqual(self.broken(*drained, sent(13.1, "a1")), ["3"])
+        self.assertEqual(self.broken(*drained, listed(11, "ready"), sent(14, "a1")), [])
+
+    def test_3_resolvers_that_keep_answers_too_long_are_counted_apart(self):
+        report = found(listed(0, "ready"), listed(10, "gone"), sent(15, "a1", "tenfold"), sent(11, "a1", "tenfold"))
+        self.assertTrue(report.kept)
+        self.assertEqual(report.late_sends["tenfold"], {"sends": 2, "after grace": 1, "worst": 2.0})
+
+    def test_3_a_list_that_is_wrong_binds_nobody(self):
+        self.assertEqual(self.broken(listed(0, "ready"), listed(1, "gone", told=False), sent(9, "a1")), [])
+
+    def test_4_a_cold_host_pushed_over(self):
+        self.assertEqual(self.broken(row("cold", 1, "h1", 1.2), row("tipped", 1, "h1")), ["4"])
+        self.assertEqual(found(row("cold", 1, "h1", 0.4)).findings[3].nearest, 0.4)
+
+    def test_5_the_queue_and_the_messages(self):
+        self.assertEqual(self.broken(message(1, waiting=1001.0)), ["5"])
+        self.assertEqual(self.broken(*(message(at) for at in range(6))), ["5"])
+        self.assertEqual(self.broken(*(message(at * 4) for at in range(6))), [])
+
+    def test_service_counts_gain_by_request_kind(self):
+        reqs = [row("req", 1, f"r{at}", "look", "desk0", "keeps", "first", outcome, 0.5, 1, gain)
+                for at, (outcome, gain) in enumerate((("done", 2.0), ("late", 0.2), ("timed out", 0.0)))]
+        self.assertAlmostEqual(found(*reqs).service["look"]["part"], 2.2 / 6)
+
+
+class Records(unittest.TestCase):
+    def test_a_torn_tail_costs_only_itself(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "a.rec"
+            recorder = Recorder(path)
+            for at in range(50):
+                recorder.row("tipped", float(at), f"h{at}")
+            recorder.flush()
+            whole = path.read_bytes()
+            self.assertEqual(len(read_folder(folder).rows), 50)
+            recorder.row("tipped", 50.0, "h50")
+            recorder.close()
+            path.write_bytes(path.read_bytes()[:len(whole) + 3])
+            self.assertEqual(len(read_folder(folder).rows), 50)
+
+    def test_a_row_of_the_wrong_shape_is_refused(self):
+        with tempfile.TemporaryDirectory() as folder, self.assertRaises(ValueError):
+            recorder = Recorder(Path(folder) / "a.rec")
+            try:
+                recorder.row("tipped", 1.0)
+            finally:
+                recorder.close()
