--- a/peatlead/cli.py
+++ b/peatlead/cli.py
@@ -146,6 +146,20 @@
     Console(width=118).print(table)
 
 
+@main.command()
+@click.option("--out", type=click.Path(file_okay=False), required=True, help="folder for records and the table")
+@click.option("--only", help="one case by name")
+@click.option("--at-once", type=int, default=3, help="cases played side by side")
+def kinds(out, only, at_once):
+    """Plays each kind of trouble alone, beside the plain baseline, and keeps a table."""
+    from .day.kinds import play_kinds
+    try:
+        found = asyncio.run(play_kinds(Path(out), only, at_once, click.echo))
+    except KeyError:
+        raise click.ClickException(f"--only: no case is called {only!r}") from None
+    sys.exit(0 if found else 1)
+
+
 @main.command()
 @click.argument("folder", type=click.Path(exists=True, file_okay=False))
 def rules(folder):
@@ -194,3 +208,21 @@
 def status(file, name):
     """Counts of a running steward."""
     click.echo(json.dumps(ask(file, name, {"ask": "status"}), indent=1))
+
+
+@main.command()
+@click.argument("file", type=click.Path())
+@click.argument("host")
+@click.option("--name", help="which steward of FILE to ask")
+def drained(file, host, name):
+    """Whether HOST may be stopped: exit 0 once no kept answer of this steward names it."""
+    told = ask(file, name, {"ask": "drained", "host": host})
+    left = told["seconds until no kept answer names it"]
+    if left is None:
+        click.echo(f"{host} ({told['phase']}): {told['named by views']} views are still told of it")
+    elif left:
+        click.echo(f"{host} ({told['phase']}): no answer names it; those given run out in {left:.1f} s")
+    else:
+        click.echo(f"{host} ({told['phase']}): no answer names it and those given have run out. Resolvers that keep "
+                   "answers longer than they may still send: stop it once its own reqs have ceased.")
+    sys.exit(0 if left == 0 else 1)
--- a/peatlead/day/play.py
+++ b/peatlead/day/play.py
@@ -46,7 +46,7 @@
         self.fleet = Fleet(day, free_port())
         self.chance = Random(day["day"]["seed"] + 1000)
         self.children, self.stewards, self.feeds, self.where = [], {}, {}, {}
-        self.begun_at = {}
+        self.begun_at, self.over = {}, False
 
     # The whole.
 
@@ -71,7 +71,7 @@
 
     async def set_up(self):
         (self.folder / "settings.star").write_text(self.script())
-        _, self.teller = await self.loop.create_datagram_endpoint(Teller, local_addr=("127.2.0.1", 0))
+        self.telling, self.teller = await self.loop.create_datagram_endpoint(Teller, local_addr=("127.2.0.1", 0))
         self.halls = [self.spawn("hosts", at) for at in range(HOST_PROCESSES)]
         self.rooms = [self.spawn("desks", at) for at in range(DESK_PROCESSES)]
         for plan in self.fleet.hosts:
@@ -110,6 +110,10 @@
                 raise task
 
     def tear_down(self):
+        for stream in self.feeds.values():
+            stream.cut("the day is over")
+        self.over = True
+        self.telling.close()
         for child in self.stewards.values():
             child.send_signal(signal.SIGCONT)
         everyone = [*self.children, *self.stewards.values()]
@@ -149,13 +153,14 @@
             try:
                 _, stream = await self.loop.create_connection(
                     lambda: Asking({"ask": "feed"}, self.take_message), address, port + 1)
+                self.feeds[at] = stream
                 await stream.over
             except OSError:
                 await asyncio.sleep(0.02)
 
     def take_message(self, data):
         said = msgspec.json.decode(data)
-        if "view" in said:
+        if "view" in said and not self.over:
             self.record.row("message", said["at"], said["steward"], said["view"], said["lines"], said["waiting"],
                             said["most"], said["held"])
 
@@ -180,6 +185,7 @@
         chosen = self.chance.sample(free, min(many, len(free)))
         for plan in chosen:
             self.begun_at[plan["name"]] = True
+        self.note(trouble, chosen)
         return chosen
 
     def let_go(self, plans):
@@ -191,7 +197,7 @@
     async def strike(self, trouble):
         await asyncio.sleep(max(0.0, self.start + trouble["at"] - self.loop.time()))
         verb = trouble["verb"]
-        self.record.row("trouble", self.loop.time(), verb, "", self.loop.time() + trouble.get("length", 0.0))
+        self.note(trouble, [])
         if verb.startswith("list_"):
             self.list.begin(verb, trouble, self.chance)
             await asyncio.sleep(trouble["length"])
@@ -199,6 +205,11 @@
         else:
             await getattr(self, verb)(trouble)
 
+    def note(self, trouble, plans):
+        now = self.loop.time()
+        self.record.row("trouble", now, trouble["verb"], [plan["address"] for plan in plans],
+                        now + trouble.get("length", 0.0))
+
     async def hosts_fault(self, trouble, fault, value, over):
         plans = self.some_hosts(trouble)
         await self.tell_hosts(plans, fault, value)
--- a/peatlead/rules/check.py
+++ b/peatlead/rules/check.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 KEEP_THE_RFC = ("keeps", "stale")  # RFC 8767 allows stale answers only while no server answers
+FAILING = ("silent", "hung")
 WHOLE_MANY = 5  # breaches that are named one by one
 
 
@@ -24,6 +25,7 @@
     service: dict  # request kind -> {"reqs", "part", outcomes}
     late_sends: dict  # resolver kind -> {"after grace", "worst": seconds past the grace}
     answers: dict  # resolver kind -> answers
+    named: list  # (trouble, address, seconds until the last answer that named it, ... the last send to it)
     rows: int
     torn: int
 
@@ -40,7 +42,8 @@
     drain, late_sends = drains(rows, limits)
     findings = [bare(rows, limits), twice(rows), drain, cold(rows), channel(rows, limits)]
     answers = Counter(row.resolver for row in rows["answer"])
-    return Report(findings, service(rows["req"], kinds), late_sends, dict(answers), len(read.rows), read.torn)
+    return Report(findings, service(rows["req"], kinds), late_sends, dict(answers), still_named(rows),
+                  len(read.rows), read.torn)
 
 
 def finding(rule, nearest, said, breaches=None):
@@ -146,6 +149,21 @@
     return finding("5 the queue stays short", max(deepest, part), said)
 
 
+def still_named(rows):
+    """For each host that fell silent or hung: how long answers went on naming it, and desks sending there."""
+    found = []
+    for trouble in rows["trouble"]:
+        for address in trouble.whom if trouble.name in FAILING else ():
+            ends = []
+            for kind in ("answer", "try"):
+                last = max((row.at for row in rows[kind] if trouble.at < row.at < trouble.until
+                            and (address in row.addresses if kind == "answer" else row.address == address)
+                            and row.resolver in KEEP_THE_RFC), default=trouble.at)
+                ends.append(last - trouble.at)
+            found.append((trouble.name, address, *ends))
+    return found
+
+
 def service(reqs, kinds):
     """By request kind: the gain earned over the gain asked for, and what became of the reqs."""
     found = {}
--- a/peatlead/rules/show.py
+++ b/peatlead/rules/show.py
@@ -29,10 +29,19 @@
         table.add_row(kind, str(report.answers.get(kind, 0)), str(found["sends"]), str(found["after grace"]),
                       f"{max(0.0, found['worst']):.2f} s")
     console.print(table)
+    if report.named:
+        table = Table(title="hosts that failed without a word: seconds until", title_justify="left")
+        for name in ("trouble", "hosts", "the last answer: middle, worst", "the last send: middle, worst"):
+            table.add_column(name, justify="right")
+        for trouble in sorted({one[0] for one in report.named}):
+            mine = [one for one in report.named if one[0] == trouble]
+            ends = [sorted(one[at] for one in mine) for at in (2, 3)]
+            table.add_row(trouble, str(len(mine)), *(f"{end[len(end) // 2]:.1f}, {end[-1]:.1f}" for end in ends))
+        console.print(table)
 
 
 def as_data(report):
     return {"kept": report.kept, "rows": report.rows, "torn": report.torn, "service": report.service,
-            "late_sends": report.late_sends, "answers": report.answers,
+            "late_sends": report.late_sends, "answers": report.answers, "named": report.named,
             "rules": {f.rule: {"nearest": f.nearest, "breaches": f.breaches, "said": f.said}
                       for f in report.findings}}
--- a/peatlead/steward/control.py
+++ b/peatlead/steward/control.py
@@ -1,6 +1,7 @@
 """Operators' questions: lines of JSON over TCP, one answer a line, and a feed of what is published.
 
 {"ask": "answer", "view": NAME, "service": LABEL} | {"ask": "status"} | {"ask": "feed"}
+{"ask": "drained", "host": NAME}
 """
 
 import asyncio
@@ -17,6 +18,7 @@
     ask: str
     view: str = ""
     service: str = ""
+    host: str = ""
 
 
 class Peer(Lines):
--- a/peatlead/steward/steward.py
+++ b/peatlead/steward/steward.py
@@ -53,7 +53,9 @@
         self.prober = Prober(settings["probes"], self.me["listen"][0], self.on_probe, self.levels_text)
         self.memory = Memory(folder and f"{folder}/list-{name}")
         self.source = source(settings["node_list"], self.on_listing, log)
-        self.control = Control({"answer": self.tell_answer, "status": self.tell_status})
+        self.control = Control({
+            "answer": self.tell_answer, "status": self.tell_status, "drained": self.tell_drained})
+        self.left_at = {}  # host -> when the last answer could name it
         self.inbox, self.step_due, self.pump_due, self.networks = [], False, None, {}
         self.fresh_for, self.decided, self.slowest = limits["bare_most"] / 4, 0, 0.0
 
@@ -179,12 +181,16 @@
 
     def show(self, changed, heard):
         """New tables or rates, as far as they change what answers name."""
+        before = {host for seat in changed for host in self.thinning.tables.get(seat, ())}
         listed = {at: entry.weight for at, entry in enumerate(self.door.entries)}
         for seat, named in self.thinning.decide(changed, listed, heard).items():
             self.answers.place(*seat, named, self.thinning.tables[seat])
         for seat in changed:
             if self.thinning.tables[seat] != self.answers.seats[seat[0]][seat[1]].weighed:
                 self.answers.place(*seat, self.thinning.named[seat], self.thinning.tables[seat])
+        for host in before:
+            if not self.thinning.holders[host]:
+                self.left_at[host] = self.loop.time()
 
     # Events.
 
@@ -257,6 +263,18 @@
                 "lifetime": self.answers.lifetime if seat.lasting else 0, "lines": lines,
                 "fresh": self.front.fresh_until >= self.loop.time()}
 
+    def tell_drained(self, question):
+        """Whether answers still name a host, and when the last of them runs out at resolvers that keep lifetimes."""
+        host = self.door.index.get(question.host)
+        if host is None:
+            return {"error": f"expected a host of the list, got {question.host!r}"}
+        views = {seat[0] for seat in self.thinning.holders.get(host, ())}
+        gone = self.loop.time() - self.left_at[host] if not views and host in self.left_at else None
+        return {"host": question.host, "phase": self.door.entries[host].phase, "named by views": len(views),
+                "seconds since the last answer": gone,
+                "seconds until no kept answer names it": None if views else max(
+                    0.0, self.answers.lifetime - (gone if gone is not None else 0.0))}
+
     def tell_status(self, _):
         return {
             "steward": self.me["name"], "views": len(self.numbers), "hosts": len(self.door.entries),
