--- a/peatlead/cli.py
+++ b/peatlead/cli.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import logging
+import os
 import signal
 import sys
 import tempfile
@@ -69,7 +70,7 @@
 
     logger = structlog.get_logger().bind(steward=name)
     made = {"shards": Planner, "plain": PlainPlanner}[planner]
-    steward = Steward(settings, name, logger.info, made, state)
+    steward = Steward(settings, name, logger.info, made, state, boot=os.urandom(8))
     loop = asyncio.get_running_loop()
     for one in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(one, steward.stop)
@@ -226,3 +227,49 @@
         click.echo(f"{host} ({told['phase']}): no answer names it and those given have run out. Resolvers that keep "
                    "answers longer than they may still send: stop it once its own reqs have ceased.")
     sys.exit(0 if left == 0 else 1)
+
+
+@main.group()
+def fleet():
+    """Several stewards over one fleet: who owns what, and handing over."""
+
+
+def ask_fleet(file, name, do, host=""):
+    return ask(file, name, {"ask": "fleet", "do": do, "host": host})
+
+
+@fleet.command(name="status")
+@click.argument("file", type=click.Path())
+@click.option("--name", help="which steward of FILE to ask")
+@click.option("--proxies", is_flag=True, help="each proxy with its epoch, and for how long")
+def fleet_status(file, name, proxies):
+    """Members as this steward knows them, and what it owns."""
+    told = ask_fleet(file, name, "status")
+    for member, about in sorted(told["members"].items()):
+        draining = ", draining" if about["draining"] else ""
+        click.echo(f"{member}: {about['state']} for {about['since']:.1f} s, {about['proxies']} proxies{draining}")
+    click.echo(f"{told['steward']}: {told['joined']} joined, {told['moved']} moved, {told['sent on']} sent on, "
+               f"{told['paced']} paced, {told['refusals']} assignments refused")
+    for proxy, (epoch, since) in told["owned"].items() if proxies else ():
+        click.echo(f"  {proxy}: epoch {epoch} for {since:.1f} s")
+
+
+@fleet.command(name="drain")
+@click.argument("file", type=click.Path())
+@click.argument("steward")
+@click.option("--undo", is_flag=True, help="take proxies again")
+def fleet_drain(file, steward, undo):
+    """Hands all of STEWARD's proxies to the others."""
+    told = ask_fleet(file, steward, "undrain" if undo else "drain")
+    click.echo(f"{steward}: {told['joined']} proxies, {'takes more again' if undo else 'handing over'}")
+
+
+@fleet.command(name="why")
+@click.argument("file", type=click.Path())
+@click.argument("proxy")
+@click.option("--name", help="which steward of FILE to ask")
+def fleet_why(file, proxy, name):
+    """Who should own PROXY, and why."""
+    told = ask_fleet(file, name, "why", proxy)
+    here = f"joined here, epoch {told['epoch']} for {told['since']:.1f} s" if told["here"] else "not joined here"
+    click.echo(f"{proxy}: owner {told['owner']}; by rank {', '.join(told['rank'])}; {here}")
--- a/peatlead/day/play.py
+++ b/peatlead/day/play.py
@@ -1,6 +1,7 @@
 """Plays a day: stand-ins in their own processes, real stewards, troubles by the clock, then the checker."""
 
 import asyncio
+import os
 import signal
 import socket
 import subprocess
@@ -14,28 +15,34 @@
 from ..rules.record import Recorder, read_folder
 from ..settings.script import load_settings
 from ..standin.process import Teller
-from ..steward.control import Asking
+from ..steward.control import Asking, ask_once
 from .fleet import Fleet
 from .nodelist import NodeList
 
-HOST_PROCESSES, DESK_PROCESSES = 3, 2
+HOST_PROCESSES, DESK_PROCESSES, AGENT_PROCESSES = 3, 2, 2
+NETS = {"hosts": 1, "desks": 2, "agents": 3}
 SETTLE = 3.0  # seconds for stewards and stand-ins to be up before reqs begin
 ADD_LAG, DRAIN_LAG = 0.3, 0.2  # seconds until the list has what happened
 
 
-def free_port():
-    """A port that nothing holds now, with the next one too; days that run side by side need their own."""
-    for _ in range(100):
-        with socket.socket() as one, socket.socket() as other:
-            one.bind(("127.0.0.1", 0))
-            port = one.getsockname()[1]
+def free_port(taken=set()):  # noqa: B006 - what this process has handed out already
+    """A port that nothing holds now, with the next two; days that run side by side need their own.
+
+    Below those that systems give to connections on their way out: a prober's could hold it on our address.
+    """
+    for at in range(0, 20_000, 4):
+        port = 10_000 + (os.getpid() * 28 + at) % 20_000
+        if port in taken:
+            continue
+        with socket.socket() as one, socket.socket() as two, socket.socket() as three:
             try:
-                other.bind(("127.0.0.1", port + 1))
+                for more, held in enumerate((one, two, three)):
+                    held.bind(("0.0.0.0", port + more))
             except OSError:
                 continue
-            if port < 65000:
-                return port
-    raise OSError("no two free ports side by side")
+        taken.add(port)
+        return port
+    raise OSError("no three free ports side by side")
 
 
 class Day:
@@ -46,7 +53,7 @@
         self.fleet = Fleet(day, free_port())
         self.chance = Random(day["day"]["seed"] + 1000)
         self.children, self.stewards, self.feeds, self.where = [], {}, {}, {}
-        self.begun_at, self.over = {}, False
+        self.begun_at, self.over, self.away = {}, False, set()
 
     # The whole.
 
@@ -73,7 +80,8 @@
         (self.folder / "settings.star").write_text(self.script())
         self.telling, self.teller = await self.loop.create_datagram_endpoint(Teller, local_addr=("127.2.0.1", 0))
         self.halls = [self.spawn("hosts", at) for at in range(HOST_PROCESSES)]
-        self.rooms = [self.spawn("desks", at) for at in range(DESK_PROCESSES)]
+        self.rooms = [self.spawn("desks", at) for at in range(DESK_PROCESSES if self.fleet.desks else 0)]
+        self.posts = [self.spawn("agents", at) for at in range(AGENT_PROCESSES if self.fleet.agents else 0)]
         for plan in self.fleet.hosts:
             await self.add_host(plan)
             self.list.put(plan, "ready", self.loop.time() - 10_000)
@@ -85,6 +93,9 @@
         for at, plan in enumerate(self.fleet.desks):
             await self.teller.tell(self.room_of(plan["resolver"]), {"do": "desk", "plan": plan, "desk": at})
 
+        for at, plan in enumerate(self.fleet.agents):
+            await self.teller.tell(self.posts[at % len(self.posts)], {"do": "agent", "plan": plan})
+
     def room_of(self, resolver):
         names = sorted(one["name"] for one in self.fleet.resolvers)
         return self.rooms[names.index(resolver) % len(self.rooms)]
@@ -96,12 +107,12 @@
                 raise RuntimeError(f"a process ended before the day began: {' '.join(child.args[2:5])}; "
                                    f"its log is in {self.folder}")
         start = self.loop.time() + 0.2
-        for room in self.rooms:
+        for room in self.rooms + self.posts:
             await self.teller.tell(room, {"do": "begin", "at": start})
         self.start = start
         tasks = [self.loop.create_task(self.strike(trouble)) for trouble in self.day["troubles"]]
         await asyncio.sleep(start + self.day["day"]["length"] - self.loop.time())
-        await asyncio.gather(*(self.teller.tell(room, {"do": "finish"}) for room in self.rooms))
+        await asyncio.gather(*(self.teller.tell(room, {"do": "finish"}) for room in self.rooms + self.posts))
         for task in tasks:
             if not task.done():
                 task.cancel()
@@ -130,11 +141,11 @@
     # Processes.
 
     def spawn(self, kind, at):
-        address = f"127.2.{1 if kind == 'hosts' else 2}.{at + 1}"
+        address = f"127.2.{NETS[kind]}.{at + 1}"
         with open(self.folder / f"{kind}{at}.log", "wb") as log:
             self.children.append(subprocess.Popen(
                 [sys.executable, "-m", "peatlead.standin.process", kind, address, str(self.fleet.port),
-                 str(self.day["day"]["seed"] * 100 + at + (50 if kind == "desks" else 0)),
+                 str(self.day["day"]["seed"] * 100 + at + 30 * NETS[kind]),
                  str(self.folder / f"{kind}{at}.rec")], stdout=log, stderr=log))
         return address, self.fleet.port
 
@@ -321,15 +332,45 @@
 
     async def steward_killed(self, trouble):
         at = trouble["steward"]
+        self.away.add(at)
         self.stewards[at].kill()
         self.stewards[at].wait()
-        self.record.row("steward", self.loop.time(), f"ns{at + 1}", "killed")
+        self.note_steward(at, "killed")
         await asyncio.sleep(trouble["length"])
         self.start_steward(at)
-        self.record.row("steward", self.loop.time(), f"ns{at + 1}", "started")
+        self.note_steward(at, "started")
+        self.away.discard(at)
+
+    def note_steward(self, at, what):
+        """By its name, as its feed has it, and by its address, as resolvers and agents know it."""
+        for name in (f"ns{at + 1}", self.fleet.stewards[at][0]):
+            self.record.row("steward", self.loop.time(), name, what)
 
     async def steward_frozen(self, trouble):
-        child = self.stewards[trouble["steward"]]
+        at = trouble["steward"]
+        child = self.stewards[at]
+        self.away.add(at)
         child.send_signal(signal.SIGSTOP)
+        self.note_steward(at, "frozen")
         await asyncio.sleep(trouble["length"])
         child.send_signal(signal.SIGCONT)
+        self.note_steward(at, "woken")
+        self.away.discard(at)
+
+    async def stewards_struck(self, trouble):
+        """Killed and frozen at random; one at least is left alone."""
+        until, running = self.loop.time() + trouble["length"], []
+        while self.loop.time() < until:
+            free = [at for at in self.stewards if at not in self.away]
+            if len(free) > 1:
+                strike = {"steward": self.chance.choice(free),
+                          "length": self.chance.uniform(0.5, trouble["most"])}
+                case = self.steward_frozen if self.chance.random() < trouble["freezes"] else self.steward_killed
+                running.append(self.loop.create_task(case(strike)))
+            await asyncio.sleep(trouble["every"] * self.chance.uniform(0.3, 1.7))
+        await asyncio.gather(*running)
+
+    async def fleet_drained(self, trouble):
+        address, port = self.fleet.stewards[trouble["steward"]]
+        self.note_steward(trouble["steward"], "draining")
+        await ask_once((address, port + 1), {"ask": "fleet", "do": "drain"})
--- a/peatlead/day/script.py
+++ b/peatlead/day/script.py
@@ -16,7 +16,7 @@
     "day": {
         "length": Field(some_seconds, 60.0, "seconds of reqs"),
         "seed": Field(number(0, whole=True), 1, "of all chance"),
-        "stewards": Field(number(1, 5, True), 2, "how many"),
+        "stewards": Field(number(1, 9, True), 2, "how many"),
     },
     "fleet": {
         "zones": Field(many(text, 1), ["bangna", "silom", "rama"], "halls"),
@@ -31,7 +31,7 @@
         "connections": Field(number(1, 100000, True), 400, "that a host accepts"),
     },
     "desks": {
-        "views": Field(number(1, 5000, True), 60, "desks, each its own network"),
+        "views": Field(number(0, 5000, True), 60, "desks, each its own network"),
         "rate": Field(number(0.1, 1e6), 300.0, "reqs a second of all"),
         "uneven": Field(number(0.0, 3.0), 1.0, "spread of the desks' rates (of their logarithm)"),
         "biggest": Field(part, 0.0, "part of all reqs that one desk brings"),
@@ -41,6 +41,14 @@
         "shared": Field(number(0, 1000, True), 4, "desks behind resolvers that serve two and tell subnets"),
         "retries": Field(number(0, 5, True), 2, "a client's own"),
     },
+    "agents": {
+        "many": Field(number(0, 5000, True), 0, "proxies that follow assignments over gRPC; 0: none"),
+        "rate": Field(number(0.1, 1e6), 300.0, "reqs a second of all"),
+        "uneven": Field(number(0.0, 3.0), 0.7, "spread of their rates (of their logarithm)"),
+        "pick": Field(one_of("random", "lighter of two"), "lighter of two", "how they choose a line"),
+        "fails_to_shun": Field(number(0, 100, True), 3, "failures in a row at which one shuns a host"),
+        "share": Field(flag, True, "stewards are one fleet; False: they share nothing"),
+    },
     "steering": {
         "lifetime": Field(number(0, 60, True), 1, "of answers, seconds"),
         "addresses": Field(number(1, 32, True), 2, "in an answer"),
@@ -66,8 +74,12 @@
     "burst": {"at": AT, "length": LENGTH, "times": Field(number(0.0), 2.0, "the reqs")},
     "shift": {"at": AT, "length": LENGTH, "zone": Field(text, "", "whose desks ask more; others ask less"),
               "times": Field(number(0.0), 1.8, "the reqs")},
-    "steward_killed": {"at": AT, "length": LENGTH, "steward": Field(number(0, 4, True), 0, "which")},
-    "steward_frozen": {"at": AT, "length": LENGTH, "steward": Field(number(0, 4, True), 1, "which")},
+    "steward_killed": {"at": AT, "length": LENGTH, "steward": Field(number(0, 8, True), 0, "which")},
+    "steward_frozen": {"at": AT, "length": LENGTH, "steward": Field(number(0, 8, True), 1, "which")},
+    "stewards_struck": {"at": AT, "length": LENGTH, "every": Field(some_seconds, 6.0, "mean seconds between"),
+                        "most": Field(some_seconds, 8.0, "longest that one is away"),
+                        "freezes": Field(part, 0.5, "part that are frozen, not killed")},
+    "fleet_drained": {"at": AT, "steward": Field(number(0, 8, True), 0, "which hands all over")},
     "list_empty": {"at": AT, "length": LENGTH},
     "list_torn": {"at": AT, "length": LENGTH},
     "list_old": {"at": AT, "length": LENGTH},
--- /dev/null
+++ b/peatlead/fleet/node.py
@@ -0,0 +1,102 @@
+"""One member on its UDP socket: the machines of this package, driven by the loop."""
+
+import asyncio
+
+import msgspec
+
+from .members import About, Ack, Heard, Leave, Members, Mine, Ping, Send, Tick, TryFor
+from .owners import Owners
+from .seal import BadSeal, Seal, Unproven
+
+TICK = 0.05
+MESSAGES = msgspec.msgpack.Decoder(Ping | Ack | TryFor)
+PROVE = b"prove"
+
+
+class FleetNode(asyncio.DatagramProtocol):
+    """`mine()` gives how many proxies have joined; `log(event, **fields)`."""
+
+    def __init__(self, settings, me, chance, boot, mine, log):
+        self.settings, self.me, self.mine, self.log = settings["fleet"], me, mine, log
+        keys = [bytes.fromhex(one) for one in self.settings["keys"]]
+        self.seal = Seal(keys, me["name"], boot)
+        seeds = [one["peer"] for one in settings["steward"] if one["name"] != me["name"]]
+        about = About(me["name"], me["peer"], "alive", 0, me["grpc"] or ())
+        self.members = Members(about, seeds, chance, self.settings["probe_every"], self.settings["probe_wait"],
+                               self.settings["suspect"])
+        self.owners = Owners(me["name"], self.settings["joins_rate"], chance)
+        self.names, self.transport, self.timer = {}, None, None
+        self.counts = {"in": 0, "out": 0, "bytes out": 0, "refused": 0, "unproven": 0}
+        self.last_refusal = ""
+
+    async def open(self):
+        self.loop = asyncio.get_running_loop()
+        await self.loop.create_datagram_endpoint(lambda: self, local_addr=self.me["peer"])
+        self.tick()
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def tick(self):
+        self.carry([Mine(self.mine(), self.owners.draining), Tick()])
+        self.timer = self.loop.call_later(TICK, self.tick)
+
+    def carry(self, events):
+        now = self.loop.time()
+        for order in self.members.decide(now, events):
+            if type(order) is Send:
+                self.send(order.address, msgspec.msgpack.encode(order.message))
+            else:
+                self.log("member", name=order.name, before=order.before, after=order.after)
+        self.owners.living(now, {name: (about.load, about.draining) for name, about in self.members.live().items()})
+
+    def send(self, address, body):
+        data = self.seal.close(body, self.names.get(address, ""))
+        self.counts["out"] += 1
+        self.counts["bytes out"] += len(data)
+        if self.transport is not None:
+            self.transport.sendto(data, address)
+
+    def datagram_received(self, data, address):
+        self.counts["in"] += 1
+        try:
+            name, body = self.seal.open(data)
+            if name not in self.names.values() or self.names.get(address) != name:
+                self.names = {a: n for a, n in self.names.items() if n != name} | {address: name}
+            if body.startswith(PROVE):
+                self.seal.learn(name, body[len(PROVE):])
+                return
+            message = MESSAGES.decode(body)
+        except Unproven as problem:
+            self.counts["unproven"] += 1
+            self.answer_unproven(address, problem)
+            return
+        except (BadSeal, msgspec.MsgspecError) as problem:
+            self.counts["refused"] += 1
+            if str(problem) != self.last_refusal:  # one line for a flood of the same
+                self.last_refusal = str(problem)
+                self.log("member message refused", address=str(address), why=str(problem))
+            return
+        self.carry([Heard(address, message)])
+
+    def answer_unproven(self, address, problem):
+        """Tell it the proof to repeat. What it says is not taken, but for a proof that it asks of us: two that
+        are new to each other could never begin."""
+        self.names[address] = problem.name
+        if problem.body.startswith(PROVE):
+            self.seal.learn(problem.name, problem.body[len(PROVE):])
+        else:
+            self.send(address, PROVE + problem.proof)
+
+    def about(self, name):
+        return self.members.live().get(name)
+
+    def leave(self):
+        if self.transport is not None:
+            self.carry([Leave()])
+            self.timer.cancel()
+            self.transport.close()
+            self.transport = None
+
+    def error_received(self, problem):
+        pass  # nobody listens there: the probe goes unanswered, which says so
--- /dev/null
+++ b/peatlead/fleet/seal.py
@@ -0,0 +1,121 @@
+"""Members' messages are sealed: keyed hash, and no message twice. Sans-I/O.
+
+A datagram is `version | sender | boot | counter | proof | body | hash`. The hash is keyed BLAKE3 over all
+before it. A sender's counter only grows within a boot, and each is taken once. A boot that is not known
+yet must prove that it lives now: it has to repeat a proof that this receiver made for it, so that what was
+recorded of an earlier boot can't be played again. Boots that were replaced stay out for good.
+"""
+
+import struct
+from hmac import compare_digest
+
+from blake3 import blake3
+
+VERSION = 1
+HASH = 16
+WINDOW = 64  # counters behind the highest that may still come, each once
+SENDERS_MOST = 600
+RETIRED_MOST = 16  # boots of one sender that are remembered as replaced
+HEAD = struct.Struct(">BB8sQ8s")
+NONE = bytes(8)
+LONGEST = 60_000
+
+
+class BadSeal(Exception):
+    """Why a datagram was not taken."""
+
+
+class Sender:
+    __slots__ = ("boot", "highest", "seen", "retired")
+
+    def __init__(self, boot):
+        self.boot, self.highest, self.seen, self.retired = boot, 0, 0, []
+
+
+class Seal:
+    """`keys`: the first seals, all open, so that keys change in service. `boot`: 8 bytes, new at each start."""
+
+    def __init__(self, keys, name, boot):
+        if not keys or any(len(key) != 32 for key in keys):
+            raise ValueError("expected at least one key of 32 bytes")
+        self.keys, self.name, self.boot, self.counter = list(keys), name.encode(), boot, 0
+        self.senders, self.proofs = {}, {}
+
+    def close(self, body, to=""):
+        """A datagram for the member `to` ("" where its name is not known yet)."""
+        self.counter += 1
+        head = HEAD.pack(VERSION, len(self.name), self.boot, self.counter, self.proofs.get(to, NONE))
+        data = head + self.name + body
+        return data + self.hash(self.keys[0], data)
+
+    def open(self, data):
+        """(sender, body). Raises BadSeal, among them Unproven."""
+        if len(data) < HEAD.size + HASH or len(data) > LONGEST:
+            raise BadSeal("expected a sealed message")
+        version, size, boot, counter, proof = HEAD.unpack_from(data)
+        if version != VERSION:
+            raise BadSeal(f"expected version {VERSION}, got {version}")
+        whole, told = data[:-HASH], data[-HASH:]
+        if not any(compare_digest(self.hash(key, whole), told) for key in self.keys):
+            raise BadSeal("the hash does not fit: forged, changed, or another fleet's")
+        if len(whole) < HEAD.size + size:
+            raise BadSeal("expected a sender")
+        name = whole[HEAD.size:HEAD.size + size].decode("utf-8", "replace")
+        if name.encode() == self.name and boot == self.boot:
+            raise BadSeal("our own message came back")
+        body = whole[HEAD.size + size:]
+        if not self.known(name, boot, proof):
+            raise Unproven(name, self.proof_for(name, boot), body)
+        self.count(self.senders[name], counter)
+        return name, body
+
+    def known(self, name, boot, proof):
+        """Whether it is the sender's boot that we know, or one that has proved that it lives now."""
+        sender = self.senders.get(name)
+        if sender is not None and sender.boot == boot:
+            return True
+        if sender is not None and boot in sender.retired:
+            raise BadSeal("a boot that was replaced")
+        if not compare_digest(proof, self.proof_for(name, boot)):
+            return False
+        if sender is None:
+            if len(self.senders) >= SENDERS_MOST:
+                raise BadSeal("too many senders")
+            self.senders[name] = Sender(boot)
+        else:
+            sender.retired = [*sender.retired, sender.boot][-RETIRED_MOST:]
+            sender.boot, sender.highest, sender.seen = boot, 0, 0
+        return True
+
+    @staticmethod
+    def count(sender, counter):
+        """Each counter once, in any order within the window."""
+        ahead = counter - sender.highest
+        if ahead > 0:
+            sender.seen = (sender.seen << ahead | 1) & ((1 << WINDOW) - 1) if ahead < WINDOW else 1
+            sender.highest = counter
+        elif -ahead >= WINDOW or sender.seen >> -ahead & 1:
+            raise BadSeal("a message that came before")
+        else:
+            sender.seen |= 1 << -ahead
+
+    def learn(self, name, proof):
+        """A member asks us to repeat this proof: we have just started, or it has."""
+        self.proofs[name] = proof
+        if len(self.proofs) > SENDERS_MOST:
+            self.proofs.pop(next(iter(self.proofs)))
+
+    def proof_for(self, name, boot):
+        return blake3(self.boot + boot + name.encode(), key=self.keys[-1]).digest(8)
+
+    @staticmethod
+    def hash(key, data):
+        return blake3(data, key=key).digest(HASH)
+
+
+class Unproven(BadSeal):
+    """Its hash fits, its boot is not known: `proof` is what it has to repeat, `body` what it said."""
+
+    def __init__(self, name, proof, body):
+        super().__init__("a boot that is not known yet")
+        self.name, self.proof, self.body = name, proof, body
--- /dev/null
+++ b/peatlead/grpc/front.py
@@ -0,0 +1,231 @@
+"""The gRPC front: proxies join over an aggregated discovery stream, and report loads.
+
+A proxy's stream is its membership: it joins with its first request (node id, zone, what it holds) and
+leaves when the stream ends. `core` is the steward's side:
+
+    admit(node) -> (epoch, refusal): a refusal is None or (status, text, trailing metadata)
+    hints(node) -> metadata for a proxy that is taken in: where to dial when this controller ends
+    joined(session), left(session), heard(events), refused(session, Refused), applied(session, type, version)
+    host_of((address, port)) -> index or None
+"""
+
+import asyncio
+from typing import NamedTuple
+
+from envoy.service.discovery.v3 import discovery_pb2
+from envoy.service.load_stats.v3 import lrs_pb2
+from google.protobuf.message import DecodeError
+
+from ..net.streams import Held
+from .assign import ENDPOINTS, ROUTES, ROUTES_NAME, Line, write_lines, write_routes
+from .discovery import Discovery, read_version
+from .framing import INVALID, NOT_FOUND, UNAVAILABLE, UNIMPLEMENTED
+from .http2 import Connection
+from .reports import read_report
+
+DISCOVERY = "/envoy.service.discovery.v3.AggregatedDiscoveryService/StreamAggregatedResources"
+LOADS = "/envoy.service.load_stats.v3.LoadReportingService/StreamLoadStats"
+HELD_MOST = 2000  # lines that a proxy may say it holds
+NAME_MOST = 200
+
+
+class Node(NamedTuple):
+    """What a proxy says of itself: `epoch` the newest that it has seen, `held` {kind: [Line]}, `hops` how
+    often it was sent on, `avoid` controllers that it could not reach. One that says nothing of hops knows
+    nothing of being sent on: it is taken in by whoever it dials."""
+    name: str
+    zone: str
+    epoch: int
+    held: dict
+    rate: float
+    hops: int
+    avoid: tuple
+
+
+def read_node(request):
+    """A Node of a stream's first request. Raises ValueError with what was expected."""
+    node = request.node
+    if not node.id or len(node.id) > NAME_MOST:
+        raise ValueError("expected a node id")
+    said = node.metadata.fields
+    epoch, rate, held = read_version(request.version_info).epoch, 1.0, {}
+    if "epoch" in said:
+        epoch = max(epoch, int(said["epoch"].number_value))
+    if "rate" in said:
+        rate = min(1e6, max(0.01, said["rate"].number_value))
+    if "held" in said:
+        for kind, lines in said["held"].struct_value.fields.items():
+            held[kind] = [read_line(one.string_value) for one in lines.list_value.values[:HELD_MOST]]
+    hops = int(said["hops"].number_value) if "hops" in said else 100
+    avoid = tuple(one.string_value for one in said["avoid"].list_value.values[:100]) if "avoid" in said else ()
+    return Node(node.id, node.locality.zone, min(max(0, epoch), 2**53), held, rate, hops, avoid)
+
+
+def read_line(text):
+    """`ADDRESS|PORT|ZONE|WEIGHT`, as proxies tell what they hold."""
+    address, port, zone, weight = (text.split("|") + [""] * 4)[:4]
+    try:
+        return Line(address, int(port), zone, float(weight))
+    except ValueError:
+        raise ValueError(f"expected ADDRESS|PORT|ZONE|WEIGHT, got {text!r}") from None
+
+
+class Session:
+    """One joined proxy: its stream, what it is to hold, and what it has said."""
+
+    def __init__(self, front, call):
+        self.front, self.call, self.node, self.discovery = front, call, None, None
+        self.number, self.state, self.zone, self.since = None, None, 0, 0.0
+        self.levels, self.retries, self.ready, self.stale = {}, {}, False, set()
+        call.message, call.ended, call.writable = self.message, self.ended, self.push
+
+    def message(self, data):
+        try:
+            request = discovery_pb2.DiscoveryRequest.FromString(data)
+            if self.node is None:
+                self.join(read_node(request))
+        except DecodeError:
+            self.call.finish(INVALID, "expected a DiscoveryRequest")
+            return
+        except ValueError as problem:
+            self.call.finish(INVALID, str(problem))
+            return
+        if self.discovery is not None:
+            self.send(self.discovery.take(request))
+            self.tell_news()
+
+    def join(self, node):
+        self.node, core = node, self.front.core
+        epoch, refusal = core.admit(node)
+        if refusal is not None:
+            status, text, more = refusal
+            self.call.finish(status, text, **more)
+            return
+        self.discovery = Discovery(epoch, self.resources, self.front.identity)
+        self.since = asyncio.get_running_loop().time()
+        self.call.connection.accept(self.call, **core.hints(node))
+        self.call.connection.flush()
+        core.joined(self)
+
+    def tell_news(self):
+        core, found = self.front.core, self.discovery
+        for refusal in found.refusals:
+            core.refused(self, refusal)
+        for type_url, version in found.applied:
+            core.applied(self, type_url, version)
+        found.refusals, found.applied = [], []
+
+    def resources(self, type_url, names):
+        """As they stand; None while there is nothing to say: what a proxy brought stands until then."""
+        if not self.ready:
+            return None
+        if type_url == ENDPOINTS:
+            known = [name for name in self.front.kinds if name in names or not names]
+            return {name: write_lines(name, self.lines(name), self.levels.get(name, 1.0)) for name in known}
+        if type_url == ROUTES:
+            kinds = {name: self.retries.get(name, "unstarted") for name in self.front.kinds}
+            return {ROUTES_NAME: write_routes(kinds)}
+        return {}
+
+    def lines(self, kind):
+        return [Line(*self.front.core.place_of(host), weight)
+                for host, weight in self.state.lines(self.front.kinds[kind]).items()]
+
+    def changed(self, types=(ENDPOINTS, ROUTES)):
+        """Something that it is to hold has changed. A proxy that reads slowly gets only the newest."""
+        self.ready = True
+        self.stale |= set(types)
+        self.push()
+
+    def push(self):
+        for type_url in (ENDPOINTS, ROUTES):
+            if type_url in self.stale and self.call.idle and self.discovery is not None:
+                self.stale.discard(type_url)
+                self.send(self.discovery.changed(type_url))
+
+    def send(self, responses):
+        for response in responses:
+            self.call.send(response.SerializeToString(deterministic=True))
+
+    def ended(self, status, text):
+        if self.discovery is not None:
+            self.discovery = None
+            self.front.core.left(self)
+
+    def move(self, text, **more):
+        """Sends it to another controller; what it holds it keeps."""
+        self.call.finish(UNAVAILABLE, text, **more)
+
+
+class Loads:
+    """One proxy's load reports."""
+
+    def __init__(self, front, call):
+        self.front, self.call, self.node = front, call, None
+        call.message = self.message
+
+    def message(self, data):
+        try:
+            request = lrs_pb2.LoadStatsRequest.FromString(data)
+        except DecodeError:
+            self.call.finish(INVALID, "expected a LoadStatsRequest")
+            return
+        if self.node is None:
+            self.node = request.node.id
+            answer = lrs_pb2.LoadStatsResponse(send_all_clusters=True, report_endpoint_granularity=True)
+            answer.load_reporting_interval.FromMilliseconds(int(self.front.every * 1000))
+            self.call.send(answer.SerializeToString())
+        session = self.front.sessions.get(self.node)
+        if session is None:
+            if request.cluster_stats:  # one that has not joined here is another controller's
+                self.call.finish(NOT_FOUND, "expected a proxy that has joined")
+            return
+        self.front.core.heard(read_report(
+            request, self.front.kinds, self.front.core.host_of, session.number, session.zone))
+
+
+class GrpcFront:
+    """One steward's gRPC listener. `most` connections; the idlest is cut."""
+
+    def __init__(self, core, identity, kinds, every, most=10_000):
+        self.core, self.identity, self.every = core, identity, every
+        self.kinds = {name: at for at, name in enumerate(kinds)}
+        self.sessions, self.held, self.server = {}, Held(most), None
+
+    async def open(self, address):
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self.connect, *address, backlog=1024)
+
+    def connect(self):
+        made = Connection(False, self.serve)
+        made.ended_all = lambda reason: self.held.drop(made)
+        self.held.add(made)
+        return made
+
+    def serve(self, call):
+        if call.path == DISCOVERY:
+            Session(self, call)
+        elif call.path == LOADS:
+            Loads(self, call)
+        else:
+            call.finish(UNIMPLEMENTED, f"expected {DISCOVERY} or {LOADS}")
+
+    def add(self, session):
+        """The newest stream of a proxy counts: an older one is that of a half-open connection."""
+        old = self.sessions.get(session.node.name)
+        self.sessions[session.node.name] = session
+        if old is not None:
+            old.call.finish(UNAVAILABLE, "replaced by a newer stream")
+
+    def drop(self, session):
+        if self.sessions.get(session.node.name) is session:
+            del self.sessions[session.node.name]
+            return True
+        return False
+
+    def close(self):
+        if self.server is not None:
+            self.server.close()
+        for connection in list(self.held.streams):
+            connection.go_away()
+            connection.close()
--- a/peatlead/rules/check.py
+++ b/peatlead/rules/check.py
@@ -7,7 +7,7 @@
 from collections import Counter, defaultdict, deque
 from typing import NamedTuple
 
-KEEP_THE_RFC = ("keeps", "stale")  # RFC 8767 allows stale answers only while no server answers
+KEEP_THE_RFC = ("keeps", "stale", "agent")  # RFC 8767 allows stale answers only while no server answers
 FAILING = ("silent", "hung")
 WHOLE_MANY = 5  # breaches that are named one by one
 
@@ -26,6 +26,7 @@
     late_sends: dict  # resolver kind -> {"after grace", "worst": seconds past the grace}
     answers: dict  # resolver kind -> answers
     named: list  # (trouble, address, seconds until the last answer that named it, ... the last send to it)
+    takeovers: list  # (what befell the controller, seconds until its agent had joined one)
     rows: int
     torn: int
 
@@ -41,9 +42,11 @@
         rows[row.kind].append(row)
     drain, late_sends = drains(rows, limits)
     findings = [bare(rows, limits), twice(rows), drain, cold(rows), channel(rows, limits)]
+    if rows["order"]:
+        findings.append(orders(rows))
     answers = Counter(row.resolver for row in rows["answer"])
     return Report(findings, service(rows["req"], kinds), late_sends, dict(answers), still_named(rows),
-                  len(read.rows), read.torn)
+                  takeovers(rows), len(read.rows), read.torn)
 
 
 def finding(rule, nearest, said, breaches=None):
@@ -53,7 +56,7 @@
 def bare(rows, limits):
     """1. How long a view had no line at a steward: by what the steward's messages left it with, and by runs of
     answers that named none. A killed steward's duty ends; a frozen one gives no answers."""
-    worst, where, held, empty = 0.0, None, {}, {}
+    worst, where, held, empty, supplied = 0.0, None, {}, {}, set()
     last = max((row.at for row in rows["message"] + rows["answer"]), default=0.0)
 
     def note(span, key):
@@ -61,10 +64,22 @@
         if span > worst:
             worst, where = span, key
 
-    for row in sorted(rows["answer"] + rows["message"] + rows["steward"], key=lambda row: row.at):
+    kinds = ("answer", "message", "steward", "stream", "order")
+    for row in sorted((row for kind in kinds for row in rows[kind]), key=lambda row: row.at):
         if row.kind == "steward":
-            held = {key: at for key, at in held.items() if key[0] != row.steward}
-            empty = {}
+            if row.what == "killed":
+                held = {key: at for key, at in held.items() if key[0] != row.steward}
+                empty = {}
+        elif row.kind == "stream":
+            if row.what == "joined" and row.agent not in supplied:
+                held.setdefault(("agents", row.agent), row.at)
+        elif row.kind == "order":
+            if row.done == "applied" and row.least:
+                supplied.add(row.agent)
+                note(row.at - held.pop(("agents", row.agent), row.at), ("agents", row.agent))
+            elif row.done == "applied":
+                supplied.discard(row.agent)
+                held.setdefault(("agents", row.agent), row.at)
         elif row.kind == "message":
             key = row.steward, row.view
             if min(row.held, default=0) > 0:
@@ -95,9 +110,13 @@
 def drains(rows, limits):
     """3. Sends to a host after the list told that it drains or is gone, by kind of resolver."""
     grace, told, worst, breaches, named = limits["drain_grace"], {}, 0.0, 0, []
+    joined = Joined()
     late = defaultdict(lambda: {"sends": 0, "after grace": 0, "worst": 0.0})
-    for row in sorted(rows["list"] + rows["try"], key=lambda row: row.at):
-        if row.kind == "list":
+    every = rows["list"] + rows["try"] + rows["stream"] + rows["steward"]
+    for row in sorted(every, key=lambda row: row.at):
+        if row.kind in ("stream", "steward"):
+            joined.note(row)
+        elif row.kind == "list":
             for address, phase in row.hosts.values() if row.told else ():
                 if phase == "ready":
                     told.pop(address, None)
@@ -105,10 +124,13 @@
                     told.setdefault(address, row.at)
         elif row.outcome == "sent":
             late[row.resolver]["sends"] += 1
-            past = row.at - told.get(row.address, row.at)
+            since = told.get(row.address, row.at)
+            past = row.at - since
             kind = late[row.resolver]
             kind["worst"] = max(kind["worst"], past - grace if past else 0.0)
             kind["after grace"] += past > grace
+            if row.resolver == "agent":
+                past = min(past, row.at - joined.since(row.view, row.at))  # it binds proxies while they are joined
             if row.resolver in KEEP_THE_RFC:
                 worst = max(worst, past / grace)
                 if past > grace:
@@ -118,6 +140,73 @@
     return finding("3 drains kept", worst, said, breaches), dict(late)
 
 
+class Joined:
+    """Since when each agent has been joined to a controller that is neither killed nor frozen."""
+
+    def __init__(self):
+        self.to, self.at, self.away = {}, {}, {}
+
+    def note(self, row):
+        if row.kind == "stream":
+            if row.what == "joined":
+                self.to[row.agent], self.at[row.agent] = row.steward, row.at
+            elif self.to.get(row.agent) == row.steward:
+                self.to.pop(row.agent)
+        elif row.what in ("killed", "frozen"):
+            self.away[row.steward] = True
+        elif row.what in ("started", "woken"):
+            self.away.pop(row.steward, None)
+            for agent, steward in self.to.items():
+                if steward == row.steward:
+                    self.at[agent] = row.at
+
+    def since(self, agent, now):
+        """`now` where it is not joined to one that runs."""
+        steward = self.to.get(agent)
+        return now if steward is None or steward in self.away else self.at[agent]
+
+
+def orders(rows):
+    """Among several controllers: no order acts twice, none of an older epoch than an agent has seen acts."""
+    newest, twice_done, old_done, old, refused = {}, 0, 0, 0, 0
+    for row in sorted(rows["order"], key=lambda row: row.at):
+        version = row.epoch, row.serial
+        if row.done == "applied":
+            twice_done += version == newest.get(row.agent)
+            old_done += version < newest.get(row.agent, (0, 0))
+            newest[row.agent] = max(version, newest.get(row.agent, (0, 0)))
+        old += row.done == "old"
+        refused += row.done == "refused"
+    said = (f"{len(rows['order'])} orders: {twice_done} applied twice, {old_done} old ones applied of "
+            f"{old + old_done} that arrived, {refused} refused")
+    return finding("6 no order twice, none old", float(twice_done + old_done), said, twice_done + old_done)
+
+
+def takeovers(rows):
+    """[(what, seconds until the agent had joined another controller)] for each agent of a struck controller."""
+    to, waiting, found = {}, {}, []
+    for row in sorted(rows["stream"] + rows["steward"], key=lambda row: row.at):
+        if row.kind == "steward":
+            if row.what in ("killed", "frozen", "draining"):
+                for agent, steward in to.items():
+                    if steward == row.steward:
+                        waiting.setdefault(agent, (row.what, row.at, row.steward))
+            elif row.what in ("started", "woken"):
+                # Frozen for so short a time that its agents never left: no takeover took place.
+                for agent in [a for a, w in waiting.items() if w[2] == row.steward and to.get(a) == row.steward]:
+                    what, at, _ = waiting.pop(agent)
+                    found.append((what + ", stayed", row.at - at))
+        elif row.what == "joined":
+            to[row.agent] = row.steward
+            if row.agent in waiting:
+                what, at, _ = waiting.pop(row.agent)
+                found.append((what, row.at - at))
+        elif to.get(row.agent) == row.steward and row.agent not in waiting:
+            waiting[row.agent] = "lost", row.at, row.steward
+    last = max((row.at for row in rows["stream"]), default=0.0)
+    return found + [(what + ", never", last - at) for what, at, _ in waiting.values() if last - at > 5.0]
+
+
 def cold(rows):
     """4. Work offered to cold hosts, as a part of what tips them; and hosts that did tip."""
     nearest = max(rows["cold"], key=lambda row: row.part, default=None)
--- a/peatlead/rules/record.py
+++ b/peatlead/rules/record.py
@@ -31,6 +31,11 @@
     # What the day did to whom.
     "trouble": ("name", "whom", "until"),
     "steward": ("steward", "what"),
+    # At an agent: its stream to a controller began ("joined") or ended ("lost").
+    "stream": ("agent", "steward", "what"),
+    # At an agent: an order that came; `done`: "applied", "old" (not acted on) or "refused"; `least`: the fewest
+    # lines of any request kind that it then held.
+    "order": ("agent", "steward", "epoch", "serial", "done", "least"),
 }
 
 
--- a/peatlead/rules/show.py
+++ b/peatlead/rules/show.py
@@ -29,6 +29,15 @@
         table.add_row(kind, str(report.answers.get(kind, 0)), str(found["sends"]), str(found["after grace"]),
                       f"{max(0.0, found['worst']):.2f} s")
     console.print(table)
+    if report.takeovers:
+        table = Table(title="agents of a struck controller: seconds until joined again", title_justify="left")
+        for name in ("what", "agents", "median", "99th", "worst"):
+            table.add_column(name, justify="right")
+        for what in sorted({one[0] for one in report.takeovers}):
+            spans = sorted(one[1] for one in report.takeovers if one[0] == what)
+            parts = [spans[int((len(spans) - 1) * part)] for part in (0.5, 0.99, 1.0)]
+            table.add_row(what, str(len(spans)), *(f"{one:.2f}" for one in parts))
+        console.print(table)
     if report.named:
         table = Table(title="hosts that failed without a word: seconds until", title_justify="left")
         for name in ("trouble", "hosts", "the last answer: middle, worst", "the last send: middle, worst"):
@@ -42,6 +51,6 @@
 
 def as_data(report):
     return {"kept": report.kept, "rows": report.rows, "torn": report.torn, "service": report.service,
-            "late_sends": report.late_sends, "answers": report.answers, "named": report.named,
+            "late_sends": report.late_sends, "answers": report.answers, "named": report.named, "takeovers": report.takeovers,
             "rules": {f.rule: {"nearest": f.nearest, "breaches": f.breaches, "said": f.said}
                       for f in report.findings}}
--- a/peatlead/settings/script.py
+++ b/peatlead/settings/script.py
@@ -118,8 +118,13 @@
             for one in made[kind]:
                 known([one["zone"]], zones, f"{kind} {one['name']}.zone")
         unique([n for view in made["view"] for n in view["networks"] + view["resolvers"]], "network")
-        if not made["view"] and not made["dns"]["open_views"]:
-            raise ValueError("expected a view(...) or dns.open_views above 0: nobody could be answered")
+        if not made["view"] and not made["dns"]["open_views"] and not made["grpc"]["proxies"]:
+            raise ValueError("expected a view(...), dns.open_views or grpc.proxies: nobody could be served")
+        peers = [one for one in made["steward"] if one["peer"]]
+        if peers and len(peers) < len(made["steward"]):
+            raise ValueError("steward.peer: expected for all stewards of a fleet, or for none")
+        if peers and not made["fleet"]["keys"]:
+            raise ValueError("fleet.keys: expected at least one key: members' messages are sealed")
         check_lifetime(made)
     except ValueError as problem:
         raise BadSettings(f"{name}:1: {problem}") from None
--- a/peatlead/settings/shapes.py
+++ b/peatlead/settings/shapes.py
@@ -96,6 +96,15 @@
     return address(host.strip("[]")), int(port)
 
 
+def key(value):
+    try:
+        if len(bytes.fromhex(text(value))) == 32:
+            return value
+    except ValueError:
+        pass
+    raise ValueError("expected 64 hex digits")  # and the value is never printed: it is a secret
+
+
 seconds = number(0.0, 86400.0)
 some_seconds = number(0.001, 86400.0)
 part = number(0.0, 1.0)
@@ -141,6 +150,19 @@
         "at_once": Field(number(1, 100000, True), 64, "probes in flight at most; more wait their turn"),
         "waiting_most": Field(number(1, 100000, True), 512, "probes that may wait; more are dropped and counted"),
     },
+    "grpc": {
+        "proxies": Field(number(0, 100_000, True), 0, "proxies that are expected, of all stewards together"),
+        "pick": Field(one_of("random", "even", "lighter of two"), "lighter of two", "how they choose a line"),
+        "fails_to_shun": Field(number(0, 100, True), 3, "failures in a row at which a proxy shuns a host; 0: never"),
+        "connections_most": Field(number(1, 100_000, True), 10_000, "that a steward holds; the idlest is cut"),
+    },
+    "fleet": {
+        "keys": Field(many(key), [], "32 bytes in hex each: the first seals members' messages, all open them"),
+        "probe_every": Field(some_seconds, 0.3, "between a member's probes of others"),
+        "probe_wait": Field(some_seconds, 0.15, "for an answer"),
+        "suspect": Field(some_seconds, 1.0, "until a member that does not refute is held for dead"),
+        "joins_rate": Field(number(1.0), 200.0, "proxies a second that a steward takes in past a burst"),
+    },
     "choices": {
         "gone_is_advice": Field(flag, False, "a host missing from the list stays while it answers"),
         "crossing_price": Field(part, 0.0, "of gain lost by a req that crosses zones"),
@@ -174,6 +196,8 @@
         "zone": Field(text, REQUIRED, "the zone it probes from"),
         "listen": Field(endpoint, REQUIRED, "ADDRESS:PORT for DNS, UDP and TCP"),
         "control": Field(endpoint, REQUIRED, "ADDRESS:PORT for operators' questions"),
+        "grpc": Field(endpoint, None, "ADDRESS:PORT for proxies; none: no gRPC front"),
+        "peer": Field(endpoint, None, "ADDRESS:PORT for other stewards of one fleet; none: it shares nothing"),
         "seed": Field(number(0, whole=True), 1, "of all its chance"),
     },
 }
--- a/peatlead/standin/desks.py
+++ b/peatlead/standin/desks.py
@@ -88,7 +88,8 @@
         self.tasks, self.number, self.in_work = set(), number, 0
 
     def begin(self, at):
-        self.loop.call_at(at + self.chance.expovariate(self.rate), self.arrive, at)
+        first = at + self.chance.expovariate(self.rate)
+        self.loop.call_at(first, self.arrive, first)
 
     def arrive(self, due):
         if self.stopped:
--- a/peatlead/standin/hosts.py
+++ b/peatlead/standin/hosts.py
@@ -235,7 +235,8 @@
             count[6] += now - job.arrived
             self.done_lately.append(now)
             if self.chance.random() >= self.lost:
-                job.connection.answer(200, [("host-name", self.plan.name)], b"done", self.draining)
+                job.connection.answer(200, [("host-name", self.plan.name), ("load-util", f"{self.measure(now):.3f}")],
+                                      b"done", self.draining)
 
     def abandon(self, job):
         """The client has gone; the work has not."""
--- a/peatlead/standin/process.py
+++ b/peatlead/standin/process.py
@@ -12,9 +12,9 @@
 import msgspec
 
 from ..rules.record import Recorder
-from . import desks, hosts
+from . import agents, desks, hosts
 
-HALLS = {"hosts": hosts.Hall, "desks": desks.Hall}
+HALLS = {"hosts": hosts.Hall, "desks": desks.Hall, "agents": agents.Hall}
 FLUSH = 0.5
 
 
--- a/peatlead/steward/channel.py
+++ b/peatlead/steward/channel.py
@@ -44,6 +44,12 @@
         self.deepest = max(self.deepest, self.waiting)
         self.past += self.waiting > self.most  # told in the status; the planner keeps this at none
 
+    def forget(self, view):
+        """It has left: what waits for it is lost."""
+        message = self.queue.pop(view, None)
+        if message is not None:
+            self.waiting -= self.head + len(message.ops)
+
     @property
     def next_at(self):
         return self.free_at if self.queue else None
@@ -69,9 +75,19 @@
 
     def __init__(self):
         self.tables, self.users, self.bound, self.joined = {}, {}, {}, set()
+        self.levelled, self.levels = set(), {}  # those that follow levels themselves; kind: (level, retry)
 
-    def join(self, view):
+    def join(self, view, levelled=False):
+        """`levelled`: a proxy that enforces levels and second tries; what a DNS view can't, hosts do."""
         self.joined.add(view)
+        if levelled:
+            self.levelled.add(view)
+
+    def leave(self, view):
+        self.joined.discard(view)
+        self.levelled.discard(view)
+        for table in self.bound.pop(view, {}).values():
+            self.users[table].discard(view)
 
     def take(self, orders):
         """({view: {op: value}}, {view: [mark]}, the orders that are not for views)."""
@@ -93,9 +109,17 @@
                     out.setdefault(view, {})
                     marks.setdefault(view, []).append(order.number)
             else:
+                if kind is our.Admit:
+                    self.admit(out, order)
                 rest.append(order)
         return out, marks, rest
 
+    def admit(self, out, order):
+        for at in order.kinds:
+            self.levels[at] = order.level, order.retry
+            for view in self.levelled:
+                put(out.setdefault(view, {}), ("level", at), self.levels[at])
+
     def set_line(self, out, table, host, weight):
         lines = self.tables.setdefault(table, {})
         lines.pop(host, None)
@@ -106,12 +130,11 @@
 
     def bind(self, out, order):
         ops = out.setdefault(order.proxy, {})
+        bound = self.bound.setdefault(order.proxy, {})
         for kind in order.kinds:
-            old = self.bound.get((order.proxy, kind))
-            self.bound[order.proxy, kind] = order.table
+            old, bound[kind] = bound.get(kind), order.table
             put(ops, ("bind", kind), order.table)
-            if old is not None and old != order.table and old not in {
-                    table for (view, _), table in self.bound.items() if view == order.proxy}:
+            if old is not None and old not in bound.values():
                 self.users[old].discard(order.proxy)
                 put(ops, ("left", old), True)  # or its lines would stand when the view comes back to it
         self.users.setdefault(order.table, set()).add(order.proxy)
@@ -122,10 +145,10 @@
 class ViewState:
     """What one view holds: messages applied, in order. `lines(kind)` is its table less what is withdrawn."""
 
-    __slots__ = ("tables", "bound", "withdrawn")
+    __slots__ = ("tables", "bound", "withdrawn", "levels")
 
     def __init__(self):
-        self.tables, self.bound, self.withdrawn = {}, {}, set()
+        self.tables, self.bound, self.withdrawn, self.levels = {}, {}, set(), {}
 
     def apply(self, ops):
         for op, value in ops.items():
@@ -138,6 +161,8 @@
                 self.bound[op[1]] = value
             elif op[0] == "left":
                 self.tables.pop(op[1], None)
+            elif op[0] == "level":
+                self.levels[op[1]] = value
             elif value:
                 self.withdrawn.add(op[1])
             else:
--- a/peatlead/steward/control.py
+++ b/peatlead/steward/control.py
@@ -1,7 +1,7 @@
 """Operators' questions: lines of JSON over TCP, one answer a line, and a feed of what is published.
 
 {"ask": "answer", "view": NAME, "service": LABEL} | {"ask": "status"} | {"ask": "feed"}
-{"ask": "drained", "host": NAME}
+{"ask": "drained", "host": NAME} | {"ask": "fleet", "do": "status|drain|undrain|why", "host": PROXY}
 """
 
 import asyncio
@@ -19,6 +19,7 @@
     view: str = ""
     service: str = ""
     host: str = ""
+    do: str = ""
 
 
 class Peer(Lines):
--- /dev/null
+++ b/peatlead/steward/proxies.py
@@ -0,0 +1,152 @@
+"""The steward's side of the gRPC front: proxies that join, and a fleet's say in it."""
+
+from ..dns.views import number_of
+from ..fleet.owners import ranked, why
+from ..grpc.framing import UNAVAILABLE
+from ..grpc.front import GrpcFront
+from .channel import ViewState
+
+
+class Proxies:
+    """`steward` is asked to hear events and to publish; `owners` (or None) decides whose a proxy is."""
+
+    def __init__(self, steward, owners, about):
+        self.steward, self.owners, self.about = steward, owners, about
+        settings = steward.settings
+        self.port = settings["dns"]["port"]
+        self.front = GrpcFront(self, steward.me["name"], steward.kinds, settings["choices"]["sums_every"],
+                               settings["grpc"]["connections_most"])
+        self.by_number, self.places, self.refusals, self.acks = {}, {}, 0, 0
+        self.moved = self.sent_on = self.paced = 0
+
+    # What the front asks.
+
+    def admit(self, node):
+        """The epoch that a proxy is taken in with, or how it is sent on."""
+        if self.owners is None:
+            return node.epoch + 1, None
+        now = self.steward.loop.time()
+        verdict = self.owners.admit(now, node.name, node.epoch, node.hops, node.avoid)
+        if verdict.take:
+            return self.owners.epochs[node.name], None
+        if verdict.wait:
+            self.paced += 1
+            return 0, (UNAVAILABLE, verdict.why, {"peatlead_wait": f"{verdict.wait:.3f}"})
+        self.sent_on += 1
+        return 0, (UNAVAILABLE, verdict.why, self.place(verdict.owner))
+
+    def place(self, owner):
+        about = self.about(owner)
+        return {"peatlead_owner": f"{about.orders[0]}:{about.orders[1]}"} if about and about.orders else {}
+
+    def hints(self, node):
+        """Where to dial, best first, when this controller ends."""
+        if self.owners is None:
+            return {}
+        abouts = [self.about(name) for name in ranked(node.name, self.owners.live)]
+        return {"peatlead_controllers": ",".join(
+            f"{one.name}={one.orders[0]}:{one.orders[1]}" for one in abouts if one and one.orders)}
+
+    def joined(self, session):
+        node, steward = session.node, self.steward
+        session.number, session.state = number_of("proxy:" + node.name), ViewState()
+        session.zone = steward.door.zones.get(node.zone, 0)
+        self.front.add(session)
+        self.by_number[session.number] = session
+        publisher = steward.publisher
+        steward.channel.forget(session.number)
+        publisher.leave(session.number)
+        publisher.join(session.number, levelled=True)
+        session.state.levels.update(publisher.levels)
+        held = self.take_held(session)
+        self.show(session)
+        steward.proxy_joined(session.number, session.zone, node.rate, not held)
+
+    def take_held(self, session):
+        """What it brought stands, line by line, until the planner says otherwise; a withdrawal shuts hosts out
+        of it like out of any table. Lines of hosts that no list has named are left out of what we know."""
+        for kind, lines in session.node.held.items():
+            at = self.front.kinds.get(kind)
+            known = {self.host_of((one.address, one.port)): one.weight for one in lines if one.weight > 0}
+            known.pop(None, None)
+            if at is not None and known:
+                session.state.tables["held", kind] = known
+                session.state.bound[at] = "held", kind
+        return len(session.state.bound) == len(self.front.kinds)
+
+    def left(self, session):
+        if self.front.drop(session):
+            self.by_number.pop(session.number, None)
+            self.steward.channel.forget(session.number)
+            self.steward.publisher.leave(session.number)
+            if self.owners is not None:
+                self.owners.left(session.node.name)
+            self.steward.proxy_left(session.number)
+
+    def heard(self, events):
+        self.steward.hear_all(events)
+
+    def refused(self, session, refusal):
+        self.refusals += 1
+        self.steward.log("assignment refused", proxy=session.node.name, version=refusal.version, why=refusal.text)
+
+    def applied(self, session, type_url, version):
+        self.acks += 1
+
+    def host_of(self, place):
+        address, port = place
+        return self.places.get(address) if port == self.port else None
+
+    def place_of(self, host):
+        entry = self.steward.door.entries[host]
+        return entry.address or entry.address6, self.port, entry.zone
+
+    # What the steward tells.
+
+    def know(self, host, entry):
+        for address in (entry.address, entry.address6):
+            if address:
+                self.places[address] = host
+
+    def apply(self, number, message):
+        """A message has left the channel. Returns the session, or None where the proxy has gone."""
+        session = self.by_number.get(number)
+        if session is not None:
+            session.state.apply(message.ops)
+            self.show(session)
+            if any(self.concerns(session, op, value) for op, value in message.ops.items()):
+                session.changed()
+        return session
+
+    @staticmethod
+    def concerns(session, op, value):
+        """A withdrawal of a host that it holds nowhere is no news for it."""
+        return op[0] != "withdrawn" or any(op[1] in table for table in session.state.tables.values())
+
+    def show(self, session):
+        names = list(self.front.kinds)
+        session.levels = {names[at]: level for at, (level, _) in session.state.levels.items()}
+        session.retries = {names[at]: retry for at, (_, retry) in session.state.levels.items()}
+
+    def held_lines(self, session):
+        return [len(session.state.lines(at)) for at in self.front.kinds.values()]
+
+    # The fleet.
+
+    def move(self, now):
+        """Sends on what another should own."""
+        for name, owner in self.owners.moves(now) if self.owners is not None else ():
+            session = self.front.sessions.get(name)
+            place = self.place(owner)
+            if session is not None and place:
+                self.moved += 1
+                session.move("another's by rank", **place)
+
+    def tell_why(self, name):
+        session = self.front.sessions.get(name)
+        return why(self.owners, name, session and session.since, self.steward.loop.time())
+
+    def status(self):
+        return {"joined": len(self.front.sessions), "acks": self.acks, "refusals": self.refusals,
+                "moved": self.moved, "sent on": self.sent_on, "paced": self.paced,
+                "connections": len(self.front.held.streams)}
--- a/peatlead/steward/steward.py
+++ b/peatlead/steward/steward.py
@@ -11,6 +11,7 @@
 from ..dns.server import DnsFront
 from ..dns.thin import Thinning
 from ..dns.views import Views
+from ..fleet.node import FleetNode
 from ..probes.news import News
 from ..probes.prober import Prober
 from ..sources.file import FileSource
@@ -19,16 +20,18 @@
 from .control import Control
 from .door import Door
 from .facts import facts_of
+from .proxies import Proxies
 
 
 class Steward:
     """One steward of a settings map.
 
-    `log(event, **fields)`; `planner(facts, seed)` makes the decisions; `folder` keeps what outlives it.
+    `log(event, **fields)`; `planner(facts, seed)` makes the decisions; `folder` keeps what outlives it;
+    `boot`: 8 bytes that no other start of this steward has had, where it is one of a fleet.
     `await start()` opens sockets (OSError where it can't); `ended` is a future: "stopped", or the error.
     """
 
-    def __init__(self, settings, name, log, planner=Planner, folder=None, source=FileSource):
+    def __init__(self, settings, name, log, planner=Planner, folder=None, source=FileSource, boot=b"\1" * 8):
         self.settings, self.log = settings, log
         self.me = next(one for one in settings["steward"] if one["name"] == name)
         self.loop = asyncio.get_running_loop()
@@ -55,6 +58,12 @@
         self.source = source(settings["node_list"], self.on_listing, log)
         self.control = Control({
             "answer": self.tell_answer, "status": self.tell_status, "drained": self.tell_drained})
+        self.fleet = self.me["peer"] and FleetNode(
+            settings, self.me, Random(chance.random()), boot, self.count_proxies, log)
+        self.proxies = self.me["grpc"] and Proxies(
+            self, self.fleet and self.fleet.owners, self.fleet and self.fleet.about)
+        if self.fleet:
+            self.control.answers["fleet"] = self.tell_fleet
         self.left_at = {}  # host -> when the last answer could name it
         self.inbox, self.step_due, self.pump_due, self.networks = [], False, None, {}
         self.fresh_for, self.decided, self.slowest = limits["bare_most"] / 4, 0, 0.0
@@ -67,6 +76,10 @@
     async def start(self):
         await self.front.open(self.me["listen"])
         await self.control.open(self.me["control"])
+        if self.proxies:
+            await self.proxies.front.open(self.me["grpc"])
+        if self.fleet:
+            await self.fleet.open()
         listing, why = self.memory.recall()
         if listing:
             self.on_listing(listing)
@@ -74,7 +87,7 @@
             self.log("no list remembered", why=why)
         for view in self.views.views:
             self.publisher.join(view.number)
-            self.hear(our.ProxyJoined(view.number, view.zone, view.rate, True))
+            self.proxy_joined(view.number, view.zone, view.rate, True)
         self.source.start()
         self.log("steward started", listen=str(self.me["listen"]), views=len(self.numbers))
 
@@ -86,6 +99,10 @@
         self.source.stop()
         self.prober.stop()
         self.front.close()
+        if self.fleet:
+            self.fleet.leave()  # before its proxies dial others, so that these know whose they are
+        if self.proxies:
+            self.proxies.front.close()
         self.control.close()
         self.log("steward stopped", why=why, decided=self.decided)
         self.ended.set_result(why)
@@ -96,6 +113,10 @@
             self.step_due = True
             self.loop.call_soon(self.step)
 
+    def hear_all(self, events):
+        for event in events:
+            self.hear(event)
+
     def step(self):
         """One batch: all that came in, one decide, all of its orders."""
         self.step_due = False
@@ -122,6 +143,8 @@
         self.carry(now, orders)
         if any(type(event) is our.TimerFired for event in events) or self.decided == 1:
             self.refresh(now)
+            if self.fleet and self.proxies:
+                self.proxies.move(now)
 
     def wake(self, now):
         """It stood still for longer than its answers may be trusted: first the list, then the answers."""
@@ -163,22 +186,29 @@
             self.pump_due.cancel()
             self.pump_due = None
         for number, message in self.channel.due(now):
-            view = self.views.by_number[number]
+            for mark in message.marks:
+                self.hear(our.Applied(number, mark, now - message.offered))
+            view = self.views.by_number.get(number)
+            if view is None:
+                session = self.proxies and self.proxies.apply(number, message)
+                if session:
+                    self.tell_feed(now, session.node.name, message, self.proxies.held_lines(session))
+                continue
             state = self.states[view.index]
             state.apply(message.ops)
             for at, kinds in enumerate(self.services):
                 changed[view.index, at] = state.lines(kinds[0])
-            for mark in message.marks:
-                self.hear(our.Applied(number, mark, now - message.offered))
-            self.control.publish({
-                "at": now, "steward": self.me["name"], "view": view.name, "lines": len(message.ops),
-                "offered": message.offered, "waiting": self.channel.waiting, "most": self.channel.most,
-                "held": [len(state.lines(kinds[0])) for kinds in self.services]})
+            self.tell_feed(now, view.name, message, [len(state.lines(kinds[0])) for kinds in self.services])
         if changed:
             self.show(changed, ())
         if self.channel.next_at is not None:
             self.pump_due = self.loop.call_at(self.channel.next_at, self.pump)
 
+    def tell_feed(self, now, name, message, held):
+        self.control.publish({
+            "at": now, "steward": self.me["name"], "view": name, "lines": len(message.ops),
+            "offered": message.offered, "waiting": self.channel.waiting, "most": self.channel.most, "held": held})
+
     def show(self, changed, heard):
         """New tables or rates, as far as they change what answers name."""
         before = {host for seat in changed for host in self.thinning.tables.get(seat, ())}
@@ -200,6 +230,8 @@
         for member in roster.members:
             entry = self.door.entries[member.host]
             self.answers.know(member.host, entry.name, entry.address, entry.address6)
+            if self.proxies:
+                self.proxies.know(member.host, entry)
             if member.phase == "ready":
                 self.answers.open_hosts.add(member.host)
             else:
@@ -234,7 +266,7 @@
         """What views bring, by service: answers depend on it (dns/thin.py)."""
         heard = {}
         for event in events:
-            if type(event) is our.ReqSums:
+            if type(event) is our.ReqSums and event.proxy in self.views.by_number:
                 view = self.views.by_number[event.proxy].index
                 for at, kinds in enumerate(self.services):
                     if event.kind in kinds:
@@ -245,6 +277,15 @@
     def levels_text(self):
         return ",".join(f"{self.kinds[at]}={level}" for at, level in sorted(self.levels.items()))
 
+    def proxy_joined(self, number, zone, rate, standing_only):
+        self.hear(our.ProxyJoined(number, zone, rate, standing_only))
+
+    def proxy_left(self, number):
+        self.hear(our.ProxyLeft(number))
+
+    def count_proxies(self):
+        return len(self.proxies.front.sessions) if self.proxies else 0
+
     # Operators.
 
     def tell_answer(self, question):
@@ -275,8 +316,28 @@
                 "seconds until no kept answer names it": None if views else max(
                     0.0, self.answers.lifetime - (gone if gone is not None else 0.0))}
 
+    def tell_fleet(self, question):
+        """status, drain or why."""
+        owners, proxies = self.fleet.owners, self.proxies
+        if question.do == "drain":
+            owners.draining = True
+            self.log("draining", proxies=self.count_proxies())
+        elif question.do == "undrain":
+            owners.draining = False
+        elif question.do == "why" and proxies:
+            return proxies.tell_why(question.host)
+        members = {one.about.name: {
+            "state": one.about.state, "since": self.loop.time() - one.since, "proxies": one.about.load,
+            "draining": one.about.draining, "incarnation": one.about.incarnation}
+            for one in self.fleet.members.members.values()}
+        return {"steward": self.me["name"], "draining": owners.draining, "members": members,
+                "messages": dict(self.fleet.counts), **(proxies.status() if proxies else {}),
+                "owned": {name: [epoch, self.loop.time() - proxies.front.sessions[name].since]
+                          for name, epoch in sorted(owners.epochs.items()) if name in proxies.front.sessions}}
+
     def tell_status(self, _):
         return {
+            **({"proxies": self.proxies.status()} if self.proxies else {}),
             "steward": self.me["name"], "views": len(self.numbers), "hosts": len(self.door.entries),
             "decided": self.decided, "slowest_decide": self.slowest, "answers": dict(self.answers.counts),
             "unanswered": self.front.unanswered, "prepared": self.answers.prepared,
