--- a/peatlead/fleet/members.py
+++ b/peatlead/fleet/members.py
@@ -182,11 +182,11 @@
         for about in message.news[:NEWS_MOST]:
             self.learn(about)
         if type(message) is Ping:
-            extra = []
-            # One that others hold for dead must hear it, or it could not refute; a newcomer wants to know all.
-            for one in self.members.values():
-                if one.about.address == address and one.about.state != ALIVE:
-                    extra.append(one.about)
+            # One that others hold for dead must hear it, or it could not refute; so must one that started anew
+            # and whose news is older than what is known of its life before. A newcomer wants to know all.
+            told = {about.name: about.incarnation for about in message.news}
+            extra = [one.about for one in self.members.values() if one.about.address == address and (
+                one.about.state != ALIVE or told.get(one.about.name, 1 << 62) < one.about.incarnation)]
             newcomer = not any(one.about.address == address for one in self.members.values())
             self.send(address, Ack(message.number, (extra + self.news(everything=newcomer))[:NEWS_MOST]))
         elif type(message) is Ack:
--- a/peatlead/fleet/owners.py
+++ b/peatlead/fleet/owners.py
@@ -108,9 +108,11 @@
             order = [name for name in order if name != self.me]
         if not order:
             return self.me
-        best = order[0]
-        total, load = sum(load for load, _ in self.live.values()), self.live[best][0]
-        return best if load < total / len(self.live) * EXTRA else self.me
+        fair = sum(load for load, _ in self.live.values()) / len(order) * EXTRA
+        if self.draining:  # all must go: to the first with room, or to whoever has least
+            room = [name for name in order if self.live[name][0] < fair]
+            return room[0] if room else min(order, key=lambda name: self.live[name][0])
+        return order[0] if self.live[order[0]][0] < fair else self.me
 
 
 class Fence(NamedTuple):
--- a/peatlead/fleet/seal.py
+++ b/peatlead/fleet/seal.py
@@ -2,8 +2,9 @@
 
 A datagram is `version | sender | boot | counter | proof | body | hash`. The hash is keyed BLAKE3 over all
 before it. A sender's counter only grows within a boot, and each is taken once. A boot that is not known
-yet must prove that it lives now: it has to repeat a proof that this receiver made for it, so that what was
-recorded of an earlier boot can't be played again. Boots that were replaced stay out for good.
+yet must prove that it lives now: it has to repeat a proof that this receiver made for it just then, so that
+what was recorded of an earlier boot can't be played again, not even where that boot once had a proof of which
+no message came through. Boots that were replaced stay out for good.
 """
 
 import struct
@@ -15,6 +16,8 @@
 HASH = 16
 WINDOW = 64  # counters behind the highest that may still come, each once
 SENDERS_MOST = 600
+PROOFS_MOST = 4  # for one boot, as several of its messages may be on the way
+BOOTS_MOST = 4  # of one sender that wait to be proven: replays make some
 RETIRED_MOST = 16  # boots of one sender that are remembered as replaced
 HEAD = struct.Struct(">BB8sQ8s")
 NONE = bytes(8)
@@ -39,7 +42,8 @@
         if not keys or any(len(key) != 32 for key in keys):
             raise ValueError("expected at least one key of 32 bytes")
         self.keys, self.name, self.boot, self.counter = list(keys), name.encode(), boot, 0
-        self.senders, self.proofs = {}, {}
+        self.senders, self.proofs = {}, {}  # of others; what they want repeated
+        self.wanted, self.issued = {}, 0  # name -> boot -> proofs that we made for it
 
     def close(self, body, to=""):
         """A datagram for the member `to` ("" where its name is not known yet)."""
@@ -65,7 +69,7 @@
             raise BadSeal("our own message came back")
         body = whole[HEAD.size + size:]
         if not self.known(name, boot, proof):
-            raise Unproven(name, self.proof_for(name, boot), body)
+            raise Unproven(name, self.make_proof(name, boot), body)
         self.count(self.senders[name], counter)
         return name, body
 
@@ -76,8 +80,10 @@
             return True
         if sender is not None and boot in sender.retired:
             raise BadSeal("a boot that was replaced")
-        if not compare_digest(proof, self.proof_for(name, boot)):
+        made = self.wanted.get(name, {}).get(boot, ())
+        if not any(compare_digest(proof, one) for one in made):
             return False
+        del self.wanted[name]  # what else was on its way to be proven has to begin anew
         if sender is None:
             if len(self.senders) >= SENDERS_MOST:
                 raise BadSeal("too many senders")
@@ -105,8 +111,17 @@
         if len(self.proofs) > SENDERS_MOST:
             self.proofs.pop(next(iter(self.proofs)))
 
-    def proof_for(self, name, boot):
-        return blake3(self.boot + boot + name.encode(), key=self.keys[-1]).digest(8)
+    def make_proof(self, name, boot):
+        """A new one each time: one that was made before some other boot was taken proves nothing any more."""
+        self.issued += 1
+        proof = blake3(self.boot + boot + self.issued.to_bytes(8, "big"), key=self.keys[0]).digest(8)
+        if name not in self.wanted and len(self.wanted) >= SENDERS_MOST:
+            self.wanted.pop(next(iter(self.wanted)))
+        boots = self.wanted.setdefault(name, {})
+        if boot not in boots and len(boots) >= BOOTS_MOST:
+            boots.pop(next(iter(boots)))
+        boots[boot] = [*boots.get(boot, ()), proof][-PROOFS_MOST:]
+        return proof
 
     @staticmethod
     def hash(key, data):
--- a/peatlead/grpc/http2.py
+++ b/peatlead/grpc/http2.py
@@ -22,6 +22,8 @@
 WAITING_MOST = 8 << 20  # bytes of one call that wait for the peer's window
 CONTROL_MOST = 200  # resets, pings and settings of a peer within CONTROL_SPAN: more is a flood
 CONTROL_SPAN = 10.0
+CONTROL = (h2.events.PingReceived, h2.events.RemoteSettingsChanged, h2.events.PriorityUpdated,
+           h2.events.UnknownFrameReceived)
 PING_EVERY, PING_WAIT = 1.0, 1.0  # seconds: a half-open peer is found in two
 
 
@@ -169,7 +171,7 @@
             self.count_control()
             if call is not None:
                 call.end(1, "reset by the peer")
-        elif kind in (h2.events.PingReceived, h2.events.RemoteSettingsChanged, h2.events.PriorityUpdated):
+        elif kind in CONTROL:
             self.count_control()
             self.pump_all()
         elif kind is h2.events.WindowUpdated:
--- a/peatlead/rules/show.py
+++ b/peatlead/rules/show.py
@@ -51,6 +51,7 @@
 
 def as_data(report):
     return {"kept": report.kept, "rows": report.rows, "torn": report.torn, "service": report.service,
-            "late_sends": report.late_sends, "answers": report.answers, "named": report.named, "takeovers": report.takeovers,
+            "late_sends": report.late_sends, "answers": report.answers, "named": report.named,
+            "takeovers": report.takeovers,
             "rules": {f.rule: {"nearest": f.nearest, "breaches": f.breaches, "said": f.said}
                       for f in report.findings}}
--- a/peatlead/steward/steward.py
+++ b/peatlead/steward/steward.py
@@ -66,7 +66,7 @@
             self.control.answers["fleet"] = self.tell_fleet
         self.left_at = {}  # host -> when the last answer could name it
         self.inbox, self.step_due, self.pump_due, self.networks = [], False, None, {}
-        self.fresh_for, self.decided, self.slowest = limits["bare_most"] / 4, 0, 0.0
+        self.fresh_for, self.decided, self.slowest, self.waking = limits["bare_most"] / 4, 0, 0.0, False
 
     def views_zone(self):
         return [zone["name"] for zone in self.settings["zone"]].index(self.me["zone"])
@@ -124,7 +124,8 @@
             return
         now = self.loop.time()
         stalled = 0 < self.front.fresh_until < now
-        if stalled:
+        if stalled and not self.waking:
+            self.waking = True
             self.wake(now)
         news = self.news.due(now, self.numbers)
         self.inbox += news
@@ -155,7 +156,7 @@
     def refresh(self, now):
         """What was withdrawn must have reached the views before answers go out again after a stall."""
         if self.front.fresh_until >= now or not self.channel.queue:
-            self.front.fresh_until = now + self.fresh_for
+            self.front.fresh_until, self.waking = now + self.fresh_for, False
 
     # Orders.
 
--- a/tests/places.py
+++ b/tests/places.py
@@ -37,7 +37,7 @@
 
 
 def settings(port=5300, path="/nowhere/nodes.json", script=SCRIPT, more=""):
-    return load_settings("test.star", script.format(port=port, control=port + 1, path=path) + more)
+    return load_settings("test.star", script.format(port=port, control=port + 1, grpc=port + 2, path=path) + more)
 
 
 def run(case, deadline=20.0):
