--- a/peatlead/settings/shapes.py
+++ b/peatlead/settings/shapes.py
@@ -116,7 +116,7 @@
         "port": Field(number(1, 65535, True), REQUIRED, "the port that hosts serve reqs on, told in SRV"),
         "service_label": Field(label, "_http", "first label of SRV names"),
         "lifetime": Field(number(0, 3600, True), REQUIRED, "lifetime (TTL) of answers that name hosts, seconds"),
-        "addresses": Field(number(1, 64, True), 2, "addresses in an A or AAAA answer"),
+        "addresses": Field(number(1, 64, True), 8, "addresses in an A or AAAA answer"),
         "udp_most": Field(number(512, 4096, True), 1232, "longest answer over UDP with EDNS, bytes"),
         "trusted_resolvers": Field(many(network), [], "resolvers whose client subnet option is believed"),
         "open_views": Field(number(0, 65536, True), 16, "views that networks not listed share, by hash"),
--- a/peatlead/standin/hosts.py
+++ b/peatlead/standin/hosts.py
@@ -185,10 +185,11 @@
             self.advance()
 
     def level(self, kind, now):
-        """The lowest that any steward told of late."""
+        """The mean of what stewards told of late: each of them steers all reqs, so the lowest of two that waver
+        would shed for both."""
         told = [level for (name, _), (level, at) in self.levels.items()
                 if name == kind and now - at < LEVELS_LAST]
-        return min(told, default=1.0)
+        return sum(told) / len(told) if told else 1.0
 
     def count(self, network, kind):
         rows = self.counts.setdefault(network, {})
