--- a/tests/places.py
+++ b/tests/places.py
@@ -21,7 +21,8 @@
 SCRIPT = """
 zone(name = "north")
 zone(name = "south")
-dns(zone = "example.org", port = {port}, lifetime = 1, trusted_resolvers = ["192.0.2.0/24"], open_views = 4)
+dns(zone = "example.org", port = {port}, lifetime = 1, trusted_resolvers = ["192.0.2.0/24"], open_views = 4,
+    addresses = 2)
 limits(drain_grace = 3, bare_most = 4, cold_share = 0.25, warm_after = 12, tip_multiple = 3, tip_span = 1.5)
 node_list(path = "{path}", every = 0.02, patience = 0.1)
 probes(port = {port}, deadline = 0.15)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -20,11 +20,11 @@
                 ("lifetime = 1,", "", "s.star:4: dns.lifetime: expected a value"),
                 ("open_views = 4", "views = 4", "s.star:4: dns: expected only zone"),
                 ('"10.1.0.0/24"', '"10.1.0.1/24"', "expected a network such as"),
-                ('repeat = "replayable"', 'repeat = "safe"', "s.star:9: request_kind.repeat: expected one of"),
+                ('repeat = "replayable"', 'repeat = "safe"', "s.star:10: request_kind.repeat: expected one of"),
                 ('zone(name = "south")', "zone('south')", "s.star:3: zone: expected every value by name"),
-                ("gain = 2", "gain = = 2", "s.star:9: Parse error"),
-                ("gain = 2", "gain = two", "s.star:9: Variable `two` not found"),
-                ("127.1.0.1:5300", "127.1.0.1", "s.star:12: steward.listen: expected ADDRESS:PORT")):
+                ("gain = 2", "gain = = 2", "s.star:10: Parse error"),
+                ("gain = 2", "gain = two", "s.star:10: Variable `two` not found"),
+                ("127.1.0.1:5300", "127.1.0.1", "s.star:13: steward.listen: expected ADDRESS:PORT")):
             with self.subTest(new):
                 self.assertIn(expected, self.told(old, new))
 
