--- a/peatlead/day/play.py
+++ b/peatlead/day/play.py
@@ -48,9 +48,9 @@
 class Day:
     """`await play()` returns the checker's report. `folder` gets settings, record, logs."""
 
-    def __init__(self, day, folder, planner="shards", say=print):
-        self.day, self.folder, self.planner, self.say = day, Path(folder), planner, say
-        self.fleet = Fleet(day, free_port())
+    def __init__(self, day, folder, planner="shards", port=None):
+        self.day, self.folder, self.planner = day, Path(folder), planner
+        self.fleet = Fleet(day, port or free_port())
         self.chance = Random(day["day"]["seed"] + 1000)
         self.children, self.stewards, self.feeds, self.where = [], {}, {}, {}
         self.begun_at, self.over, self.away = {}, False, set()
@@ -62,13 +62,20 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         for old in [*self.folder.glob("*.rec"), *self.folder.glob("*.log"), *self.folder.glob("state/*")]:
             old.unlink()  # an earlier day's list would be remembered, and its hosts seem started anew
-        self.record = Recorder(self.folder / "day.rec")
+        self.record = self.begin_record()
         self.list = NodeList(self.folder / "nodes.json", self.loop.time, self.record)
         try:
             await self.set_up()
             await self.run()
         finally:
             self.tear_down()
+        return self.finish()
+
+    def begin_record(self):
+        return Recorder(self.folder / "day.rec")
+
+    def finish(self):
+        """The checker's report of all that was recorded."""
         settings = load_settings("settings.star", self.script())
         read = read_folder(self.folder)
         return check(read, settings["limits"], {kind["name"]: kind["gain"] for kind in self.day["kinds"]})
@@ -141,14 +148,21 @@
     # Processes.
 
     def spawn(self, kind, at):
-        address = f"127.2.{NETS[kind]}.{at + 1}"
+        address = self.address_of(kind, at)
         with open(self.folder / f"{kind}{at}.log", "wb") as log:
             self.children.append(subprocess.Popen(
                 [sys.executable, "-m", "peatlead.standin.process", kind, address, str(self.fleet.port),
-                 str(self.day["day"]["seed"] * 100 + at + 30 * NETS[kind]),
+                 str(self.seed_of(kind, at)),
                  str(self.folder / f"{kind}{at}.rec")], stdout=log, stderr=log))
         return address, self.fleet.port
 
+    @staticmethod
+    def address_of(kind, at):
+        return f"127.2.{NETS[kind]}.{at + 1}"
+
+    def seed_of(self, kind, at):
+        return self.day["day"]["seed"] * 100 + at + 30 * NETS[kind]
+
     def start_steward(self, at):
         name = f"ns{at + 1}"
         with open(self.folder / f"{name}.log", "ab") as log:
--- /dev/null
+++ b/peatlead/lab/day.py
@@ -0,0 +1,178 @@
+"""A day on simulated time: `peatlead.day.play` with its processes in a `World` in place of the system's.
+
+Steward, fronts, membership and stand-ins run unchanged; so does the day's own driver. Only how a process is
+started, killed and frozen differs, and the record is kept in memory.
+"""
+
+import asyncio
+import signal
+import tempfile
+from pathlib import Path
+from random import Random
+
+from ..choice import Planner
+from ..day.plain import PlainPlanner
+from ..day.play import Day
+from ..rules.check import check
+from ..rules.record import ROWS, Read, Row
+from ..settings.script import load_settings
+from ..standin.process import HALLS, Orders
+from ..steward.steward import Steward
+from .world import World, play
+
+PORT = 20_000
+PLANNERS = {"shards": Planner, "plain": PlainPlanner}
+
+
+class Rows:
+    """A recorder in memory, one for all processes, with the world's time."""
+
+    def __init__(self):
+        self.rows = []
+
+    def row(self, kind, at, *fields):
+        if len(fields) != len(ROWS[kind]):
+            raise ValueError(f"a row {kind} has {len(ROWS[kind])} fields, got {len(fields)}")
+        self.rows.append(Row(kind, at, dict(zip(ROWS[kind], fields))))
+
+    def close(self):
+        pass
+
+
+class Child:
+    """A simulated process, as the day's driver knows processes."""
+
+    def __init__(self, loop):
+        self.loop, self.args = loop, ["", "", "", loop.name]
+
+    def poll(self):
+        return 0 if self.loop.dead else None
+
+    def kill(self):
+        if not self.loop.dead:
+            self.loop.kill()
+
+    terminate = kill
+
+    def wait(self, timeout=None):
+        return 0
+
+    def send_signal(self, number):
+        if number == signal.SIGSTOP:
+            self.loop.freeze(1e9)
+        elif number == signal.SIGCONT and not self.loop.dead:
+            self.loop.frozen_until = self.loop.world.now
+            self.loop.thaw()
+
+
+class LabDay(Day):
+    def __init__(self, world, day, folder, planner="shards", swap=None):
+        super().__init__(day, folder, planner, port=PORT)
+        self.world, self.rows, self.logs, self.swap, self.starts = world, Rows(), [], swap or {}, 0
+
+    def begin_record(self):
+        return self.rows
+
+    def place(self):
+        """Where each address stands: hosts, desks and agents in their zones, stewards in theirs."""
+        links, zones = self.world.links, self.fleet.zones
+        for plan in self.fleet.hosts:
+            links.places[plan["address"]] = plan["zone"]
+        for at, (address, _) in enumerate(self.fleet.stewards):
+            links.places[address] = zones[at % len(zones)]
+        for agent in self.fleet.agents:
+            links.places[agent["local"]] = agent["zone"]
+
+    async def add_host(self, plan):
+        self.world.links.places[plan["address"]] = plan["zone"]
+        await super().add_host(plan)
+
+    def spawn(self, kind, at):
+        address, loop = self.address_of(kind, at), self.world.process(f"{kind}{at}")
+        chance = Random(self.seed_of(kind, at))
+
+        async def serve():
+            hall = HALLS[kind](chance, self.rows)
+            await loop.create_datagram_endpoint(lambda: Orders(hall), local_addr=(address, self.fleet.port))
+        self.children.append(self.run_in(loop, serve))
+        return address, self.fleet.port
+
+    def start_steward(self, at):
+        name = f"ns{at + 1}"
+        loop, settings = self.world.process(name), load_settings("settings.star", self.script())
+        self.starts += 1
+        boot = self.starts.to_bytes(8, "big")
+
+        def log(event, **fields):
+            self.logs.append((self.world.now, name, event, fields))
+
+        async def serve():
+            made = self.swap.get("steward", Steward)(
+                settings, name, log, PLANNERS[self.planner], str(self.folder / "state"), boot=boot)
+            await made.start()
+            self.decisions(name, made)
+            if await made.ended != "stopped":
+                self.world.report(loop, RuntimeError(made.ended.result()), f"steward {name}")
+        self.stewards[at] = self.run_in(loop, serve)
+        self.loop.create_task(self.feed(at, self.stewards[at]))
+
+    def decisions(self, name, steward):
+        """Each decide's orders go into the digest."""
+        real = steward.planner.decide
+
+        def decide(now, events):
+            orders = real(now, events)
+            self.world.note("decide", name, len(events), repr(orders))
+            return orders
+        steward.planner.decide = decide
+
+    def run_in(self, loop, serve):
+        self.world.at(self.world.now, loop, self.begin_task, loop, serve)
+        return Child(loop)
+
+    def begin_task(self, loop, serve):
+        task = loop.create_task(serve())
+        task.add_done_callback(lambda done: done.cancelled() or done.exception() is None or self.world.report(
+            loop, done.exception(), f"process {loop.name}"))
+
+    def finish(self):
+        settings = load_settings("settings.star", self.script())
+        gain = {kind["name"]: kind["gain"] for kind in self.day["kinds"]}
+        self.rows.rows.sort(key=lambda row: row.at)
+        return check(Read(self.rows.rows, 0), settings["limits"], gain)
+
+
+class Played:
+    """What came of one day in the lab."""
+
+    __slots__ = ("report", "digest", "events", "wrong", "logs", "rows", "seconds", "trace")
+
+    def __init__(self, report, world, day):
+        self.report, self.digest, self.events = report, world.digest.hexdigest(16), world.events
+        self.wrong = [f"at {now:.3f} s in {name}: {problem!r} ({where})" for now, name, where, problem in world.wrong]
+        self.logs, self.rows, self.seconds, self.trace = day.logs, day.rows.rows, world.now, world.trace
+
+    @property
+    def finds(self):
+        """Rules broken and exceptions, in words."""
+        found = list(self.wrong)
+        if self.report is not None:
+            found += [f"rule {one.rule}: {one.said}" for one in self.report.findings if one.breaches]
+        return found
+
+
+def play_day(made, seed, planner="shards", swap=None, trace=False, timers=None):
+    """Plays a day's map in a world of its own; the same arguments give the same digest."""
+    made = {**made, "day": {**made["day"], "seed": seed}}
+    world = World(seed, timers, trace)
+    with tempfile.TemporaryDirectory(prefix="peatlead-lab-") as folder:
+        loop = world.process("day")
+        day = LabDay(world, made, Path(folder), planner, swap)
+        day.place()
+        report = None
+        try:
+            report = play(world, loop, day.play(), made["day"]["length"] + 120.0)
+        except (RuntimeError, TimeoutError, asyncio.TimeoutError) as problem:
+            if not world.wrong:
+                world.report(loop, problem, "day")
+    return Played(report, world, day)
