--- a/peatlead/cli.py
+++ b/peatlead/cli.py
@@ -273,3 +273,127 @@
     told = ask_fleet(file, name, "why", proxy)
     here = f"joined here, epoch {told['epoch']} for {told['since']:.1f} s" if told["here"] else "not joined here"
     click.echo(f"{proxy}: owner {told['owner']}; by rank {', '.join(told['rank'])}; {here}")
+
+
+@main.group()
+def lab():
+    """The emulator: days on simulated time, hunts, studies."""
+
+
+def day_of(script, seed, kind):
+    """A day's map from a script, or drawn by seed."""
+    from .day.script import read_day
+    from .lab.draw import draw
+    if script is None:
+        return draw(seed, kind)
+    try:
+        return read_day(script)
+    except BadSettings as problem:
+        raise click.ClickException(str(problem)) from None
+
+
+KIND = click.option("--kind", type=click.Choice(("fleet", "dns")), default="fleet", help="of drawn days")
+
+
+@lab.command(name="run")
+@click.argument("script", type=click.Path(), required=False)
+@click.option("--seed", type=int, default=1)
+@click.option("--planner", type=click.Choice(PLANNERS), default="shards")
+@KIND
+def lab_run(script, seed, planner, kind):
+    """Plays a day script, or the day that SEED draws, on simulated time."""
+    from .lab.day import play_day
+    from .rules.show import show
+    played = play_day(day_of(script, seed, kind), seed, planner)
+    if played.report is not None:
+        show(played.report, f"simulated, seed {seed}")
+    for find in played.finds:
+        click.echo(f"found: {find}")
+    click.echo(f"digest {played.digest}, {played.events} events, {played.seconds:.1f} simulated seconds")
+    sys.exit(1 if played.finds else 0)
+
+
+@lab.command(name="hunt")
+@click.argument("first", type=int)
+@click.argument("last", type=int)
+@click.option("--workers", type=int, help="processes; the machine's cores if not given")
+@click.option("--most", type=int, default=5, help="finds after which it ends")
+@click.option("--length", type=float, default=20.0, help="simulated seconds of each day")
+@KIND
+def lab_hunt(first, last, workers, most, length, kind):
+    """Plays seeds FIRST to LAST (not included); what breaks is cut down and printed as a day script."""
+    from .lab.hunt import hunt
+    finds, played = hunt(range(first, last), kind, length, workers, click.echo, most)
+    for find in finds:
+        click.echo(f"\n# seed {find.seed}: {'; '.join(find.what[:3])}\n{find.script}")
+    click.echo(f"{played} seeds of {kind}, {len(finds)} finds")
+    sys.exit(1 if finds else 0)
+
+
+@lab.command(name="replay")
+@click.argument("what")
+@click.option("--script", type=click.Path(), help="a day script; else the day that the seed draws")
+@click.option("--seed", type=int, default=1)
+@KIND
+def lab_replay(what, script, seed, kind):
+    """The story of WHAT (a req, an agent, a desk, a host, an address) in a day that is played again."""
+    from .lab.day import play_day
+    from .lab.timeline import timeline
+    played = play_day(day_of(script, seed, kind), seed)
+    lines = timeline(played.rows, what, played.logs)
+    click.echo("\n".join(lines) if lines else f"nothing in this day is about {what!r}")
+
+
+def study_of(path):
+    from .lab.study import Study
+    try:
+        return Study(path, Path(path).read_text(encoding="utf-8"))
+    except BadSettings as problem:
+        raise click.ClickException(str(problem)) from None
+    except (OSError, UnicodeDecodeError) as problem:
+        raise click.ClickException(f"{path}:1: expected a readable study: {problem}") from None
+
+
+BASE = click.option("--results", "base", type=click.Path(), default="found/lab.sqlite", help="the file of results")
+
+
+@lab.command(name="study")
+@click.argument("file", type=click.Path())
+@click.option("--workers", type=int)
+@BASE
+def lab_study(file, workers, base):
+    """Plays what is missing of a study; may be stopped and run again."""
+    from .lab.study import Results, run
+    study = study_of(file)
+    run(study, Results(base), workers, click.echo)
+
+
+@lab.command(name="compare")
+@click.argument("file", type=click.Path())
+@click.argument("figure")
+@BASE
+def lab_compare(file, figure, base):
+    """Paired differences of FIGURE to the first variant and policy, with 95% intervals."""
+    from .lab.study import Results, compare
+    study, results = study_of(file), Results(base)
+    ways = [(variant, policy) for variant in study.variants for policy in study.policies]
+    for case in study.cases:
+        for way in ways[1:]:
+            try:
+                found = compare(results, study.head["name"], figure, ways[0], way, case)
+            except ValueError as problem:
+                raise click.ClickException(str(problem)) from None
+            told = "not played" if found is None else "{:+.4g} [{:+.4g}, {:+.4g}], {} pairs".format(*found)
+            click.echo(f"{case}: {way[0]} / {way[1]} less {ways[0][0]} / {ways[0][1]}: {told}")
+
+
+@lab.command(name="report")
+@click.argument("file", type=click.Path())
+@click.argument("out", type=click.Path(dir_okay=False))
+@BASE
+def lab_report(file, out, base):
+    """Writes a study's tables and charts as one HTML file."""
+    from .lab.report import write
+    from .lab.study import Results
+    write(Results(base), study_of(file), out)
+    click.echo(out)
--- a/peatlead/day/play.py
+++ b/peatlead/day/play.py
@@ -346,6 +346,8 @@
 
     async def steward_killed(self, trouble):
         at = trouble["steward"]
+        if at in self.away:
+            return  # another trouble has it already
         self.away.add(at)
         self.stewards[at].kill()
         self.stewards[at].wait()
@@ -363,6 +365,8 @@
     async def steward_frozen(self, trouble):
         at = trouble["steward"]
         child = self.stewards[at]
+        if at in self.away:
+            return
         self.away.add(at)
         child.send_signal(signal.SIGSTOP)
         self.note_steward(at, "frozen")
@@ -384,6 +388,12 @@
             await asyncio.sleep(trouble["every"] * self.chance.uniform(0.3, 1.7))
         await asyncio.gather(*running)
 
+    async def link_cut(self, trouble):
+        """Loopback has no links: only the lab plays these."""
+        raise RuntimeError(f"{trouble['verb']}: expected a day in the lab (peatlead lab run)")
+
+    link_slow = datagrams_lost = link_cut
+
     async def fleet_drained(self, trouble):
         address, port = self.fleet.stewards[trouble["steward"]]
         self.note_steward(trouble["steward"], "draining")
--- a/peatlead/lab/day.py
+++ b/peatlead/lab/day.py
@@ -82,6 +82,8 @@
             links.places[address] = zones[at % len(zones)]
         for agent in self.fleet.agents:
             links.places[agent["local"]] = agent["zone"]
+        for at, one in enumerate(self.fleet.resolvers):
+            links.places[one["address"]] = zones[at % len(zones)]
 
     async def add_host(self, plan):
         self.world.links.places[plan["address"]] = plan["zone"]
@@ -135,6 +137,24 @@
         task.add_done_callback(lambda done: done.cancelled() or done.exception() is None or self.world.report(
             loop, done.exception(), f"process {loop.name}"))
 
+    async def link_cut(self, trouble):
+        one, other, links = trouble["one"], trouble["other"], self.world.links
+        pairs = {(one, other)} | ({(other, one)} if trouble["both"] else set())
+        links.cut |= pairs
+        await asyncio.sleep(trouble["length"])
+        links.cut -= pairs
+
+    async def link_slow(self, trouble):
+        way = trouble["one"], trouble["other"]
+        self.world.links.slow[way] = trouble["late"]
+        await asyncio.sleep(trouble["length"])
+        self.world.links.slow.pop(way, None)
+
+    async def datagrams_lost(self, trouble):
+        self.world.links.loss = trouble["part"]
+        await asyncio.sleep(trouble["length"])
+        self.world.links.loss = 0.0
+
     def finish(self):
         settings = load_settings("settings.star", self.script())
         gain = {kind["name"]: kind["gain"] for kind in self.day["kinds"]}
--- /dev/null
+++ b/peatlead/lab/hunt.py
@@ -0,0 +1,74 @@
+"""Seeds by the thousand until a rule, an invariant or an exception shows; then the day cut down to what matters."""
+
+import multiprocessing
+import time
+from typing import NamedTuple
+
+from .day import play_day
+from .draw import as_script, draw
+
+MOST_FINDS = 5  # a hunt ends after so many
+
+
+class Find(NamedTuple):
+    seed: int
+    kind: str
+    what: list
+    digest: str
+    script: str
+
+
+def symptom(finds):
+    """What has to show again for a smaller day to count as the same find: the rule, or the error's type."""
+    return {one.split(":")[0] if one.startswith("rule") else one.split(" s in ")[-1].split("(")[0] for one in finds}
+
+
+def look(job):
+    """(seed, finds, digest, events, real seconds) of one seed."""
+    seed, kind, length = job
+    start = time.perf_counter()
+    played = play_day(draw(seed, kind, length), seed)
+    return seed, played.finds, played.digest, played.events, time.perf_counter() - start
+
+
+def hunt(seeds, kind, length=20.0, workers=None, say=print, most=MOST_FINDS):
+    """([Find], seeds played): each find is cut down and replayed before it is told."""
+    found, done, start = [], 0, time.perf_counter()
+    with multiprocessing.get_context("spawn").Pool(workers) as pool:
+        for seed, finds, digest, _, _ in pool.imap_unordered(look, ((seed, kind, length) for seed in seeds)):
+            done += 1
+            if done % 100 == 0:
+                say(f"{done} seeds, {len(found)} finds, {done / (time.perf_counter() - start):.1f} a second")
+            if finds:
+                say(f"seed {seed} ({kind}): {finds[0]}")
+                found.append(Find(seed, kind, finds, digest, ""))
+                if len(found) >= most:
+                    pool.terminate()
+                    break
+    return [one._replace(script=as_script(shrink(draw(one.seed, kind, length), one.seed, one.what)))
+            for one in sorted(found)], done
+
+
+def shrink(made, seed, finds, play=play_day, tries=60):
+    """The day with as few troubles, and as short, as still shows the same symptom."""
+    wanted = symptom(finds)
+
+    def shows(candidate):
+        return bool(wanted & symptom(play(candidate, seed).finds))
+
+    size = max(1, len(made["troubles"]) // 2)
+    while size and tries > 0:
+        at, smaller = 0, False
+        while at < len(made["troubles"]) and tries > 0:
+            candidate = {**made, "troubles": made["troubles"][:at] + made["troubles"][at + size:]}
+            tries -= 1
+            if shows(candidate):
+                made, smaller = candidate, True
+            else:
+                at += size
+        size = size // 2 if not smaller or size > 1 else 0
+    for part in (0.5, 0.7, 0.85):
+        shorter = {**made, "day": {**made["day"], "length": round(made["day"]["length"] * part, 1)}}
+        if shows(shorter):
+            return shorter
+    return made
--- a/peatlead/lab/world.py
+++ b/peatlead/lab/world.py
@@ -86,7 +86,7 @@
 class Links:
     """Delay, jitter, loss and cuts between addresses, by their place: `place(address)` gives a name.
 
-    `cut` holds (from, to) pairs of places, one way each; `slow` extra seconds for such a pair.
+    `cut` holds (from, to) pairs of places or of addresses, one way each; `slow` extra seconds for such a pair.
     """
 
     def __init__(self, chance):
@@ -99,10 +99,11 @@
     def delay(self, source, target):
         """Seconds, or None over a cut link."""
         one, other = self.place(source), self.place(target)
-        if self.cut and ((one, other) in self.cut or ("*", other) in self.cut or (one, "*") in self.cut):
+        if self.cut and ((one, other) in self.cut or (source, target) in self.cut):
             return None
         base = self.near if one == other else self.far
-        return base * (1 + self.jitter * self.chance.random()) + self.slow.get((one, other), 0.0)
+        return base * (1 + self.jitter * self.chance.random()) + (
+            self.slow.get((one, other), 0.0) or self.slow.get((source, target), 0.0))
 
     def lost(self):
         return self.loss and self.chance.random() < self.loss
@@ -167,9 +168,16 @@
         task = asyncio.Task(case, loop=self, name=name, context=context)
         self.tasks.append(task)
         if len(self.tasks) > 4096:
+            self.find_lost()
             self.tasks = [one for one in self.tasks if not one.done()]
         return task
 
+    def find_lost(self):
+        """Tasks whose exception nobody took: asyncio tells of them only when they are collected."""
+        for task in self.tasks:
+            if not self.dead and task.done() and not task.cancelled() and task._log_traceback:
+                self.world.report(self, task.exception(), f"task {task.get_name()}")
+
     def get_debug(self):
         return False
 
@@ -509,6 +517,8 @@
         asyncio._set_running_loop(None)
     while not task.done() and not world.wrong and world.step(until):
         pass
+    for process in world.processes.values():
+        process.find_lost()
     if world.wrong:
         now, name, where, problem = world.wrong[0]
         raise RuntimeError(f"at {now:.3f} s in {name}: {problem!r} ({where})") from (
--- a/peatlead/net/streams.py
+++ b/peatlead/net/streams.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
-RECEIVE = 65536  # bytes read at a time; one buffer a stream, used again
+# Bytes read at a time. One buffer serves all streams: asyncio reads into it and hands it over within one
+# callback, and what is kept is copied. A buffer a stream would be 200 MB at 3,000 proxies.
+ROOM = bytearray(65536)
 
 
 class Stream(asyncio.BufferedProtocol):
@@ -15,7 +17,7 @@
     def __init__(self, idle=0.0, waiting_most=1 << 20):
         self.idle, self.waiting_most = idle, waiting_most
         self.transport, self.peer, self.loop = None, None, None
-        self.room, self.touched, self.timer, self.why = bytearray(RECEIVE), 0.0, None, None
+        self.touched, self.timer, self.why = 0.0, None, None
 
     # For subclasses.
 
@@ -63,11 +65,11 @@
         self.opened()
 
     def get_buffer(self, sizehint):
-        return self.room
+        return ROOM
 
     def buffer_updated(self, size):
         self.touched = self.loop.time()
-        self.received(bytes(memoryview(self.room)[:size]))
+        self.received(bytes(memoryview(ROOM)[:size]))
 
     def eof_received(self):
         return False
--- a/peatlead/standin/agents.py
+++ b/peatlead/standin/agents.py
@@ -169,7 +169,7 @@
         request.node.metadata.update({
             "epoch": self.fence.newest[0], "rate": self.plan.rate, "hops": hops,
             "avoid": [self.names[address] for address in self.avoid if address in self.names], "held": held})
-        call.send(request.SerializeToString())
+        call.send(request.SerializeToString(deterministic=True))
         call.send(discovery_pb2.DiscoveryRequest(type_url=ROUTES, resource_names=[ROUTES_NAME]).SerializeToString())
 
     # Orders.
@@ -223,7 +223,7 @@
         await asyncio.wait([interval], timeout=JOIN_WAIT)
         while interval.done() and not call.over and not self.stopped and connection.transport is not None:
             await asyncio.sleep(interval.result())
-            call.send(self.stats().SerializeToString())
+            call.send(self.stats().SerializeToString(deterministic=True))
 
     def stats(self):
         now = self.loop.time()
