--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -108,6 +108,7 @@
         self.cutting = self.stormy = self.tight = self.sunk = self.lost = self.listed = False
         self.dirty, self.plan, self.plan_at, self.spread, self.met = set(), {}, 0.0, 1.0, (0.0, 0.0, 0.0, 0)
         self.cycle = settings.get("sums_every", 1.0)  # seconds between two sums of one host, about
+        self.news_at = 0.0
         self.ways, self.far = {}, set()  # (zone of proxies, of hosts): until when bad and the wait; those now
         self.handlers = {
             our.Roster: self.on_roster, our.ProxyJoined: self.on_joined, our.ProxyLeft: self.on_left,
@@ -331,9 +332,10 @@
             self.start_ramp(host)
 
     def answers_still(self, host):
-        """A list that may be wrong must not empty tables of hosts that answer; doubt finds the dead."""
+        """A list that may be wrong must not empty tables of hosts that answer; doubt finds the dead. Silence
+        counts by the newest news of any host: one that stood still itself has heard of none."""
         return (self.facts.get("gone_is_advice") and host.phase == "ready" and not host.probe_fails
-                and self.now - host.good_at < 2 * (self.cycle + self.facts["sums_every"]))
+                and min(self.now, self.news_at) - host.good_at < 2 * (self.cycle + self.facts["sums_every"]))
 
     def withdraw(self, host, on):
         host.withdrawn = on
@@ -405,6 +407,7 @@
         self.cycle += (max(event.span, self.facts["sums_every"]) - self.cycle) / 8
         good, (at, *old) = event.tries - event.bad, host.sums.get(event.zone, (self.now, 0, 0, 0))
         host.good_at = self.now if good else host.good_at
+        self.news_at = max(self.news_at, host.good_at)
         keep, news = FADE ** ((self.now - at) / self.cycle), (event.tries, event.bad, event.mean_time * good)
         host.sums[event.zone] = self.now, *(o * keep + n for o, n in zip(old, news))
         host.take_report(event.report)
--- a/peatlead/rules/check.py
+++ b/peatlead/rules/check.py
@@ -58,6 +58,7 @@
     answers that named none. A killed steward's duty ends; a frozen one gives no answers."""
     worst, where, held, empty, supplied = 0.0, None, {}, {}, set()
     last = max((row.at for row in rows["message"] + rows["answer"]), default=0.0)
+    agents = {row.agent for row in rows["stream"]}  # they say themselves what they hold
 
     def note(span, key):
         nonlocal worst, where
@@ -82,6 +83,8 @@
                 held.setdefault(("agents", row.agent), row.at)
         elif row.kind == "message":
             key = row.steward, row.view
+            if row.view in agents:
+                continue
             if min(row.held, default=0) > 0:
                 note(row.at - held.pop(key, row.at), key)
             else:
@@ -167,10 +170,12 @@
 
 
 def orders(rows):
-    """Among several controllers: no order acts twice, none of an older epoch than an agent has seen acts."""
-    newest, twice_done, old_done, old, refused = {}, 0, 0, 0, 0
+    """Among several controllers: no order acts twice, none of an older epoch than an agent has seen acts, and
+    an agent's epoch is one controller's alone."""
+    newest, twice_done, old_done, old, refused, owners, shared = {}, 0, 0, 0, 0, {}, 0
     for row in sorted(rows["order"], key=lambda row: row.at):
         version = row.epoch, row.serial
+        shared += owners.setdefault((row.agent, row.epoch), row.steward) != row.steward
         if row.done == "applied":
             twice_done += version == newest.get(row.agent)
             old_done += version < newest.get(row.agent, (0, 0))
@@ -178,8 +183,9 @@
         old += row.done == "old"
         refused += row.done == "refused"
     said = (f"{len(rows['order'])} orders: {twice_done} applied twice, {old_done} old ones applied of "
-            f"{old + old_done} that arrived, {refused} refused")
-    return finding("6 no order twice, none old", float(twice_done + old_done), said, twice_done + old_done)
+            f"{old + old_done} that arrived, {refused} refused, {shared} of an epoch that two owners gave")
+    wrong = twice_done + old_done + shared
+    return finding("6 no order twice, none old", float(wrong), said, wrong)
 
 
 def takeovers(rows):
--- a/peatlead/standin/agents.py
+++ b/peatlead/standin/agents.py
@@ -22,6 +22,7 @@
 
 JOIN_WAIT = 1.0  # seconds for a controller to take it in
 AVOID_FOR = 5.0
+DIALLED = 1 << 62  # past every serial of an epoch
 LISTEN_ON = 90.0  # seconds that a given up stream is still listened to
 CONNECT_WAIT = 0.7
 TRY_PART = 0.6  # of the time left that a try gets, where another may follow
@@ -164,6 +165,9 @@
     def ask_first(self, call, hops):
         request = discovery_pb2.DiscoveryRequest(type_url=ENDPOINTS, resource_names=[k.name for k in self.plan.kinds])
         request.node.id, request.node.locality.zone = self.plan.name, self.plan.zone
+        # Each dial is a join of its own: whoever it dialled before may only be slow, and must not have the same
+        # epoch to give. So what was dialled is fenced off, whether it ever answered or not.
+        self.fence = Fence((self.fence.newest[0] + 1, DIALLED))
         held = {kind: [f"{one.address}|{one.port}|{one.zone}|{one.weight}" for one in lines]
                 for kind, lines in self.lines.items()}
         request.node.metadata.update({
--- a/peatlead/standin/hosts.py
+++ b/peatlead/standin/hosts.py
@@ -257,6 +257,8 @@
     # Its life, and its faults.
 
     async def begin(self):
+        if self.server is not None:
+            return  # another trouble has started it already
         self.server = await self.loop.create_server(
             lambda: Connection(self), self.plan.address, self.plan.port, backlog=512)
 
