--- a/peatlead/rules/check.py
+++ b/peatlead/rules/check.py
@@ -41,7 +41,7 @@
     for row in read.rows:
         rows[row.kind].append(row)
     drain, late_sends = drains(rows, limits)
-    findings = [bare(rows, limits), twice(rows), drain, cold(rows), channel(rows, limits)]
+    findings = [bare(rows, limits), twice(rows), drain, cold(rows, limits), channel(rows, limits)]
     if rows["order"]:
         findings.append(orders(rows))
     answers = Counter(row.resolver for row in rows["answer"])
@@ -120,7 +120,7 @@
         if row.kind in ("stream", "steward"):
             joined.note(row)
         elif row.kind == "list":
-            for address, phase in row.hosts.values() if row.told else ():
+            for address, phase, _ in row.hosts.values() if row.told else ():
                 if phase == "ready":
                     told.pop(address, None)
                 else:
@@ -213,13 +213,29 @@
     return found + [(what + ", never", last - at) for what, at, _ in waiting.values() if last - at > 5.0]
 
 
-def cold(rows):
-    """4. Work offered to cold hosts, as a part of what tips them; and hosts that did tip."""
-    nearest = max(rows["cold"], key=lambda row: row.part, default=None)
-    tipped = sorted({row.host for row in rows["tipped"]})
-    said = f"tipped: {', '.join(tipped[:WHOLE_MANY])}" if tipped else (
-        f"nearest {nearest.host}" if nearest else "no host was cold")
-    return finding("4 no cold host pushed over", nearest.part if nearest else 0.0, said, len(tipped))
+def cold(rows, limits):
+    """4. Work offered to cold hosts, as a part of what tips them; and hosts that did tip. It binds from the
+    grace after the list told of the start: a host that dies and is back at once, still in every table, may be
+    pushed over before anybody can know that it is cold; such are counted apart."""
+    known, starts, nearest, where, tipped, early = {}, {}, 0.0, None, set(), set()
+    for row in sorted(rows["list"] + rows["cold"] + rows["tipped"], key=lambda row: row.at):
+        if row.kind == "list":
+            for name, (_, phase, started) in row.hosts.items() if row.told else ():
+                if phase == "ready" and starts.get(name) != started:
+                    # One that is new on the list stands in no table but by orders that knew of it.
+                    known[name] = row.at - (0.0 if name in starts else limits["drain_grace"])
+                    starts[name] = started
+        elif row.at - known.get(row.host, row.at) <= limits["drain_grace"]:
+            if row.kind == "tipped":
+                early.add(row.host)
+        elif row.kind == "tipped":
+            tipped.add(row.host)
+        elif row.part > nearest:
+            nearest, where = row.part, row.host
+    said = f"tipped: {', '.join(sorted(tipped)[:WHOLE_MANY])}" if tipped else (
+        f"nearest {where}" if where else "no host was known to be cold")
+    said += f"; {len(early)} tipped before their start could be known" if early else ""
+    return finding("4 no cold host pushed over", nearest if not tipped else max(1.0, nearest), said, len(tipped))
 
 
 def channel(rows, limits):
--- a/peatlead/rules/record.py
+++ b/peatlead/rules/record.py
@@ -24,7 +24,7 @@
     # At a host: work offered to it while cold, as a part of what tips it.
     "cold": ("host", "part"),
     "tipped": ("host",),
-    # What the node list said from then on: {name: [address, phase]}.
+    # What the node list said from then on: {name: [address, phase, started]}.
     "list": ("version", "hosts", "told"),
     # From a steward's feed: one message that left its channel; `held`: lines that the view then holds, a service.
     "message": ("steward", "view", "lines", "waiting", "most", "held"),
