--- a/peatlead/rules/check.py
+++ b/peatlead/rules/check.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 KEEP_THE_RFC = ("keeps", "stale", "agent")  # RFC 8767 allows stale answers only while no server answers
+READ_WITHIN = 0.25  # seconds
 FAILING = ("silent", "hung")
 WHOLE_MANY = 5  # breaches that are named one by one
 
@@ -115,12 +116,12 @@
     grace, told, worst, breaches, named = limits["drain_grace"], {}, 0.0, 0, []
     joined = Joined()
     late = defaultdict(lambda: {"sends": 0, "after grace": 0, "worst": 0.0})
-    every = rows["list"] + rows["try"] + rows["stream"] + rows["steward"]
+    every = readable(rows["list"]) + rows["try"] + rows["stream"] + rows["steward"]
     for row in sorted(every, key=lambda row: row.at):
         if row.kind in ("stream", "steward"):
             joined.note(row)
         elif row.kind == "list":
-            for address, phase, _ in row.hosts.values() if row.told else ():
+            for address, phase, _ in row.hosts.values():
                 if phase == "ready":
                     told.pop(address, None)
                 else:
@@ -143,6 +144,13 @@
     return finding("3 drains kept", worst, said, breaches), dict(late)
 
 
+def readable(lists):
+    """The lists that told the truth for long enough to be read. One that was torn or replaced before a steward
+    looked again (node_list.every, 0.2 s) was told to nobody."""
+    return [row for row, after in zip(lists, [*lists[1:], None])
+            if row.told and (after is None or after.at - row.at >= READ_WITHIN)]
+
+
 class Joined:
     """Since when each agent has been joined to a controller that is neither killed nor frozen."""
 
@@ -218,9 +226,9 @@
     grace after the list told of the start: a host that dies and is back at once, still in every table, may be
     pushed over before anybody can know that it is cold; such are counted apart."""
     known, starts, nearest, where, tipped, early = {}, {}, 0.0, None, set(), set()
-    for row in sorted(rows["list"] + rows["cold"] + rows["tipped"], key=lambda row: row.at):
+    for row in sorted(readable(rows["list"]) + rows["cold"] + rows["tipped"], key=lambda row: row.at):
         if row.kind == "list":
-            for name, (_, phase, started) in row.hosts.items() if row.told else ():
+            for name, (_, phase, started) in row.hosts.items():
                 if phase == "ready" and starts.get(name) != started:
                     # One that is new on the list stands in no table but by orders that knew of it.
                     known[name] = row.at - (0.0 if name in starts else limits["drain_grace"])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -69,6 +69,10 @@
         self.assertTrue(report.kept)
         self.assertEqual(report.late_sends["tenfold"], {"sends": 2, "after grace": 1, "worst": 2.0})
 
+    def test_3_a_list_that_was_torn_before_anybody_read_it_binds_nobody(self):
+        torn = listed(10.1, "draining", told=False)
+        self.assertEqual(self.broken(listed(0, "ready"), listed(10, "draining"), torn, sent(14, "a1")), [])
+
     def test_3_a_list_that_is_wrong_binds_nobody(self):
         self.assertEqual(self.broken(listed(0, "ready"), listed(1, "gone", told=False), sent(9, "a1")), [])
 
