--- a/peatlead/rules/check.py
+++ b/peatlead/rules/check.py
@@ -116,15 +116,19 @@
     grace, told, worst, breaches, named = limits["drain_grace"], {}, 0.0, 0, []
     joined = Joined()
     late = defaultdict(lambda: {"sends": 0, "after grace": 0, "worst": 0.0})
-    every = readable(rows["list"]) + rows["try"] + rows["stream"] + rows["steward"]
+    binding, newest = {id(row) for row in readable(rows["list"])}, 0
+    every = rows["list"] + rows["try"] + rows["stream"] + rows["steward"]
     for row in sorted(every, key=lambda row: row.at):
         if row.kind in ("stream", "steward"):
             joined.note(row)
         elif row.kind == "list":
+            if row.version < newest:
+                continue  # an old one is not taken
+            newest = row.version
             for address, phase, _ in row.hosts.values():
-                if phase == "ready":
+                if phase == "ready":  # even a list that is wrong: whoever reads it is told so
                     told.pop(address, None)
-                else:
+                elif id(row) in binding:
                     told.setdefault(address, row.at)
         elif row.outcome == "sent":
             late[row.resolver]["sends"] += 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -73,6 +73,12 @@
         torn = listed(10.1, "draining", told=False)
         self.assertEqual(self.broken(listed(0, "ready"), listed(10, "draining"), torn, sent(14, "a1")), [])
 
+    def test_3_a_wrong_list_that_names_it_ready_again_is_news_too_but_an_old_one_is_not(self):
+        wrong = row("list", 11, 1, {"h1": ["a1", "ready", 1.0]}, False)
+        self.assertEqual(self.broken(listed(0, "ready"), listed(10, "draining"), wrong, sent(14, "a1")), [])
+        old = row("list", 11, 0, {"h1": ["a1", "ready", 1.0]}, False)
+        self.assertEqual(self.broken(listed(0, "ready"), listed(10, "draining"), old, sent(14, "a1")), ["3"])
+
     def test_3_a_list_that_is_wrong_binds_nobody(self):
         self.assertEqual(self.broken(listed(0, "ready"), listed(1, "gone", told=False), sent(9, "a1")), [])
 
