--- a/peatlead/day/nodelist.py
+++ b/peatlead/day/nodelist.py
@@ -15,7 +15,7 @@
 
     def __init__(self, path, now, record):
         self.path, self.now, self.record = Path(path), now, record
-        self.hosts, self.version, self.fault, self.old = {}, 0, None, None
+        self.hosts, self.version, self.fault = {}, 0, None
 
     def put(self, plan, phase, started):
         self.hosts[plan["name"]] = {
@@ -36,8 +36,6 @@
             beside = self.path.with_name(self.path.name + ".new")
             beside.write_bytes(data)
             os.replace(beside, self.path)
-        if truth and not torn:
-            self.old = hosts
         told = {one["name"]: [one["address"], one["phase"], one.get("started", 0.0)] for one in hosts}
         self.record.row("list", self.now(), version, told, truth and not torn)
 
--- /dev/null
+++ b/peatlead/lab/members.py
@@ -0,0 +1,58 @@
+"""Membership machines alone, on a made-up network: for tests, and for sizes that sockets would not reach."""
+
+import random
+
+import msgspec
+
+from ..fleet.members import About, Ack, Heard, Members, Ping, Send, Tick, TryFor
+
+STEP = 0.05
+
+
+class Net:
+    """Members on a made-up network: delays, losses, cuts (one way too), kills and freezes, all by seed."""
+
+    def __init__(self, many, seed=1, loss=0.0, **timers):
+        self.chance, self.loss, self.now, self.way = random.Random(seed), loss, 0.0, []
+        self.cut, self.dead, self.frozen, self.timers = set(), set(), set(), timers
+        self.sent = self.bytes = 0
+        self.nodes = {}
+        for at in range(many):
+            self.start(f"n{at}", [f"n{other}" for other in range(min(3, many))])
+
+    def start(self, name, seeds=("n0", "n1", "n2")):
+        about = About(name, (name, 1), "alive", 0)
+        self.nodes[name] = Members(about, [(seed, 1) for seed in seeds], self.chance, **self.timers)
+        self.dead.discard(name)
+
+    def step(self, name, events):
+        for order in self.nodes[name].decide(self.now, events):
+            if type(order) is Send:
+                data = msgspec.msgpack.encode(order.message)
+                self.sent += 1
+                self.bytes += len(data)
+                if self.chance.random() >= self.loss:
+                    self.way.append((self.now + self.chance.uniform(0.001, 0.02), name, order.address[0], data))
+
+    def run(self, seconds, each=None):
+        end = self.now + seconds
+        while self.now < end:
+            self.now = round(self.now + STEP, 6)
+            due = sorted(one for one in self.way if one[0] <= self.now and one[2] not in self.frozen)
+            self.way = [one for one in self.way if one not in due]
+            for _, source, target, data in due:
+                if target in self.nodes and target not in self.dead and (source, target) not in self.cut:
+                    message = msgspec.msgpack.decode(data, type=Ping | Ack | TryFor)
+                    self.step(target, [Heard((source, 1), message)])
+            for name in sorted(self.nodes):
+                if name not in self.dead and name not in self.frozen:
+                    self.step(name, [Tick()])
+            if each is not None:
+                each()
+
+    def states(self, of):
+        return {name: one.members[of].about.state for name, one in self.nodes.items()
+                if name not in self.dead and of in one.members}
+
+    def agreed(self, live):
+        return all(set(self.nodes[name].live()) == set(live) for name in live)
