--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -272,6 +272,54 @@
             self.assertIsNotNone(seeds_until_found(name, 12, 14.0)[0], name)
 
 
+class Takeovers(unittest.TestCase):
+    """Hard cases of the shared fleet, each as a day on simulated time."""
+
+    def clean(self, troubles, agents=12, more=""):
+        day = load_day("d", f"""
+day(length = 14, seed = 5, stewards = 3)
+fleet(hosts = 9, zones = ["a", "b", "c"], pod = 3, warm_after = 5)
+desks(views = 0, shared = 0)
+agents(many = {agents}, rate = 40)
+{troubles}
+""")
+        played = play_day(day, 5)
+        self.assertEqual(played.finds, [])
+        last = {row.agent: row.what for row in played.rows if row.kind == "stream" and row.at < played.seconds - 3}
+        self.assertEqual(set(last.values()), {"joined"})
+        return played
+
+    def test_two_takeovers_within_a_second_and_the_new_owner_dies_as_well(self):
+        self.clean("steward_killed(at = 3, length = 5, steward = 0)\n"
+                   "steward_killed(at = 3.6, length = 4, steward = 1)")
+
+    def test_all_die_and_return_with_an_old_list(self):
+        played = self.clean("release(at = 1, length = 3, part = 0.3)\nlist_old(at = 5, length = 4)\n" + "\n".join(
+            f"steward_killed(at = {5.2 + at / 10}, length = 2, steward = {at})" for at in range(3)))
+        self.assertTrue(any(what == "killed" for what, _ in played.report.takeovers))
+
+    def test_killed_in_the_middle_of_a_withdrawal_and_of_staged_deltas(self):
+        for late in (0.15, 0.25, 0.35, 0.6):
+            self.clean(f"release(at = 3, length = 4, part = 0.5)\nsteward_killed(at = {3.2 + late}, length = 4)")
+
+    def test_frozen_with_orders_under_way_and_woken_after_the_takeover(self):
+        played = self.clean("release(at = 2, length = 8, part = 0.6)\n"
+                            "steward_frozen(at = 3, length = 6, steward = 0)\n"
+                            "steward_frozen(at = 4, length = 3, steward = 1)")
+        self.assertIn("0 applied twice, 0 old ones applied", played.report.findings[5].said)
+
+    def test_a_herd_of_all_agents_at_once_stays_under_channel_and_messages(self):
+        played = self.clean("steward_killed(at = 3, length = 8, steward = 0)\n"
+                            "steward_killed(at = 3, length = 7, steward = 1)", agents=150)
+        self.assertLess(played.report.findings[4].nearest, 1.0)
+
+    def test_cut_one_way_cut_and_flapping_links_between_controllers(self):
+        cut = "link_cut(at = {}, length = {}, one = '127.1.0.1', other = '127.1.0.2', both = {})"
+        self.clean(cut.format(2, 6, True))
+        self.clean(cut.format(2, 6, False))
+        self.clean("\n".join(cut.format(2 + at, 0.5, at % 2 == 0) for at in range(8)))
+
+
 class Studies(unittest.TestCase):
     def test_one_that_was_stopped_goes_on_to_what_one_never_stopped_has(self):
         with tempfile.TemporaryDirectory() as folder:
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -187,6 +187,14 @@
             return [bool(await asked.lookup(f"desk{at % 2}.api.example.org", "", "x")) for at in range(6)]
         self.assertEqual(play(case), [True] * 6)
 
+    def test_a_view_that_wanders_between_two_stewards_meets_the_same_hosts(self):
+        async def case(world):
+            both = [await world.steward("ns1"), await world.steward("ns2")]
+            await until(lambda: all(one.answers.seats[0][0].lines and not one.channel.queue for one in both))
+            tables = [[seat.lines for view in one.answers.seats for seat in view] for one in both]
+            return tables[0] == tables[1]
+        self.assertTrue(play(case))
+
     def test_an_address_that_is_taken_is_told(self):
         async def case(world):
             await world.steward()
