--- a/peatlead/rules/check.py
+++ b/peatlead/rules/check.py
@@ -9,6 +9,7 @@
 
 KEEP_THE_RFC = ("keeps", "agent")  # RFC 8767 lets a resolver serve on what has run out; that is counted apart
 READ_WITHIN = 0.25  # seconds
+SAME_START = 0.2  # seconds between a start as the host and as the list has it
 FAILING = ("silent", "hung")
 WHOLE_MANY = 5  # breaches that are named one by one
 
@@ -229,20 +230,18 @@
     """4. Work offered to cold hosts, as a part of what tips them; and hosts that did tip. It binds from the
     grace after the list told of the start: a host that dies and is back at once, still in every table, may be
     pushed over before anybody can know that it is cold; such are counted apart."""
-    known, starts, nearest, where, tipped, early = {}, {}, 0.0, None, set(), set()
-    for row in sorted(readable(rows["list"]) + rows["cold"] + rows["tipped"], key=lambda row: row.at):
-        if row.kind == "list":
-            for name, (_, phase, started) in row.hosts.items():
-                if phase == "ready" and starts.get(name) != started:
-                    # One that is new on the list stands in no table but by orders that knew of it.
-                    known[name] = row.at - (0.0 if name in starts else limits["drain_grace"])
-                    starts[name] = started
-        elif row.at - known.get(row.host, row.at) <= limits["drain_grace"]:
-            if row.kind == "tipped":
-                early.add(row.host)
-        elif row.kind == "tipped":
-            tipped.add(row.host)
-        elif row.part > nearest:
+    told, nearest, where, tipped, early = defaultdict(list), 0.0, None, set(), set()
+    for row in readable(rows["list"]):
+        for name, (_, phase, started) in row.hosts.items():
+            if phase == "ready" and (not told[name] or told[name][-1][0] != started):
+                # One that is new on the list stands in no table but by orders that knew of it.
+                told[name].append((started, row.at + (limits["drain_grace"] if told[name] else 0.0)))
+    for row in rows["cold"] + rows["tipped"]:
+        since = [at for started, at in told[row.host] if started >= row.since - SAME_START]
+        known = bool(since) and row.at > since[0]
+        if row.kind == "tipped":
+            (tipped if known else early).add(row.host)
+        elif known and row.part > nearest:
             nearest, where = row.part, row.host
     said = f"tipped: {', '.join(sorted(tipped)[:WHOLE_MANY])}" if tipped else (
         f"nearest {where}" if where else "no host was known to be cold")
--- a/peatlead/rules/record.py
+++ b/peatlead/rules/record.py
@@ -22,8 +22,8 @@
     # At a host: a req that took effect; `repeat` is its kind's repeat class.
     "effect": ("host", "req", "kind", "repeat"),
     # At a host: work offered to it while cold, as a part of what tips it.
-    "cold": ("host", "part"),
-    "tipped": ("host",),
+    "cold": ("host", "part", "since"),
+    "tipped": ("host", "since"),
     # What the node list said from then on: {name: [address, phase, started]}.
     "list": ("version", "hosts", "told"),
     # From a steward's feed: one message that left its channel; `held`: lines that the view then holds, a service.
--- a/peatlead/standin/hosts.py
+++ b/peatlead/standin/hosts.py
@@ -105,16 +105,16 @@
         """All work that arrives counts against a cold host: it falls over past what its start can bear."""
         if self.cold_from is None:
             return
-        span, able = self.plan.tip_span, self.warmth(now) * self.plan.cores
+        since, span, able = self.cold_from, self.plan.tip_span, self.warmth(now) * self.plan.cores
         self.offered.append((now, work))
         self.offered_work += work
         while self.offered and now - self.offered[0][0] > span:
             self.offered_work -= self.offered.popleft()[1]
         part = self.offered_work / (self.plan.tip_multiple * able * span)
-        self.record.row("cold", now, self.plan.name, part)
+        self.record.row("cold", now, self.plan.name, part, since)
         if part > 1 and not self.tipped:
             self.tipped = True
-            self.record.row("tipped", now, self.plan.name)
+            self.record.row("tipped", now, self.plan.name, since)
 
     def measure(self, now):
         """Part of the cores in use since the last report, at least a second back."""
