--- a/peatlead/dns/answers.py
+++ b/peatlead/dns/answers.py
@@ -113,7 +113,7 @@
         self.doors, self.prepared, self.records = {False: {}, True: {}}, 0, {}
         self.serial = 1
         self.counts = dict.fromkeys(
-            ("asked", "prepared", "malformed", "refused", "unknown", "empty", "truncated", "flushed"), 0)
+            ("asked", "malformed", "refused", "unknown", "empty", "truncated", "flushed"), 0)
 
     # What the steward tells.
 
--- a/peatlead/grpc/http2.py
+++ b/peatlead/grpc/http2.py
@@ -15,7 +15,7 @@
 import h2.settings
 
 from ..net.streams import Stream
-from .framing import BadFrame, Unframer, frame, percent
+from .framing import DEADLINE, BadFrame, Unframer, frame, percent, read_timeout
 
 STREAMS_MOST = 16  # calls of one peer at a time
 HEADERS_MOST = 16384
@@ -202,6 +202,9 @@
             self.talk.send_headers(event.stream_id, [(":status", "415")], end_stream=True)
             call.end(12, "not gRPC")
         else:
+            timeout = read_timeout(headers.get("grpc-timeout", ""))
+            if timeout is not None:
+                call.deadline = self.loop.call_later(timeout, call.finish, DEADLINE, "its deadline has passed")
             self.serve(call)
 
     def take_end(self, call):
--- a/peatlead/settings/script.py
+++ b/peatlead/settings/script.py
@@ -3,7 +3,6 @@
 Every complaint names file, line and what was expected. What comes out is a plain map.
 """
 
-from ipaddress import ip_network
 from pathlib import Path
 
 import starlark
@@ -152,8 +151,3 @@
     for name in names:
         if name not in all_of_them:
             raise ValueError(f"{what}: expected one of {', '.join(sorted(all_of_them))}, got {name!r}")
-
-
-def networks_of(made):
-    """[(network, view name)] of all named views."""
-    return [(ip_network(n), view["name"]) for view in made["view"] for n in view["networks"]]
--- a/tests/test_grpc.py
+++ b/tests/test_grpc.py
@@ -180,6 +180,14 @@
             client.close()
         play(case)
 
+    def test_a_call_ends_at_its_deadline(self):
+        async def case(world):
+            address, _ = await self.server(world, lambda call: None)
+            client, over = await dial(address, ping_every=0.0), asyncio.get_running_loop().create_future()
+            client.call("/x", "y", [("grpc-timeout", "50m")]).ended = lambda *told: over.set_result(told)
+            return await asyncio.wait_for(over, 5)
+        self.assertEqual(play(case), (4, "its deadline has passed"))
+
     def test_half_open_peers_are_found_by_pings(self):
         async def case(world):
             loop = asyncio.get_running_loop()
