--- a/peatlead/day/play.py
+++ b/peatlead/day/play.py
@@ -346,8 +346,8 @@
 
     async def steward_killed(self, trouble):
         at = trouble["steward"]
-        if at in self.away:
-            return  # another trouble has it already
+        if at in self.away or at not in self.stewards:
+            return  # another trouble has it already, or a study plays this day with fewer
         self.away.add(at)
         self.stewards[at].kill()
         self.stewards[at].wait()
--- a/studies/takeover.star
+++ b/studies/takeover.star
@@ -16,4 +16,5 @@
 case(name = "tables frozen from 4 s on", script = BASE + "\n".join(
     ["steward_killed(at = 4, length = 60, steward = %d)" % at for at in range(3)]))
 vary(name = "one fleet")
+vary(name = "one steward", set = {"day.stewards": 1})
 vary(name = "sharing nothing", set = {"agents.share": False})
