--- a/studies/shards.star
+++ b/studies/shards.star
@@ -2,7 +2,7 @@
 study(
     name = "shards",
     question = "Shard coverage and staging against the loss when hosts fall silent or err: 24 hosts, 48 views.",
-    seeds = 8,
+    seeds = 6,
 )
 BASE = """
 day(length = 18)
