--- a/peatlead/steward/steward.py
+++ b/peatlead/steward/steward.py
@@ -64,6 +64,7 @@
             self, self.fleet and self.fleet.owners, self.fleet and self.fleet.about)
         if self.fleet:
             self.control.answers["fleet"] = self.tell_fleet
+        self.listed = {}  # host -> its whole weight
         self.left_at = {}  # host -> when the last answer could name it
         self.inbox, self.step_due, self.pump_due, self.networks = [], False, None, {}
         self.fresh_for, self.decided, self.slowest, self.waking = limits["bare_most"] / 4, 0, 0.0, False
@@ -213,8 +214,7 @@
     def show(self, changed, heard):
         """New tables or rates, as far as they change what answers name."""
         before = {host for seat in changed for host in self.thinning.tables.get(seat, ())}
-        listed = {at: entry.weight for at, entry in enumerate(self.door.entries)}
-        for seat, named in self.thinning.decide(changed, listed, heard).items():
+        for seat, named in self.thinning.decide(changed, self.listed, heard).items():
             self.answers.place(*seat, named, self.thinning.tables[seat])
         for seat in changed:
             if self.thinning.tables[seat] != self.answers.seats[seat[0]][seat[1]].weighed:
@@ -230,6 +230,7 @@
         roster = self.door.roster(listing, now)
         for member in roster.members:
             entry = self.door.entries[member.host]
+            self.listed[member.host] = entry.weight
             self.answers.know(member.host, entry.name, entry.address, entry.address6)
             if self.proxies:
                 self.proxies.know(member.host, entry)
