--- a/peatlead/lab/report.py
+++ b/peatlead/lab/report.py
@@ -19,8 +19,8 @@
     from matplotlib import pyplot
 
     from .study import interval
-    drawing, place = pyplot.subplots(figsize=(7.5, 3.2))
     ways = [(variant, policy) for variant in study.variants for policy in study.policies]
+    drawing, place = pyplot.subplots(figsize=(max(7.5, 1.1 * len(ways)), 3.2))
     columns = [results.column(study.head["name"], figure, case, *way) for way in ways]
     for seed in sorted(set.intersection(*(set(one) for one in columns))) if columns else ():
         place.plot(range(len(ways)), [one[seed] for one in columns], color="0.85", linewidth=0.6, zorder=1)
