After a last read: a view's tables are taken once a message, dead names go

Cause: tables were worked out twice for each message; the check that a steward is free stood in one of two twins, so that a study with fewer stewards would have ended in a KeyError on a freeze; four constants had no user. Change: one check (take_steward), one computation. Behaviour otherwise as it was.

--- a/peatlead/day/play.py
+++ b/peatlead/day/play.py
@@ -99,7 +99,6 @@
             await self.teller.tell(self.room_of(order["name"]), order)
         for at, plan in enumerate(self.fleet.desks):
             await self.teller.tell(self.room_of(plan["resolver"]), {"do": "desk", "plan": plan, "desk": at})
-
         for at, plan in enumerate(self.fleet.agents):
             await self.teller.tell(self.posts[at % len(self.posts)], {"do": "agent", "plan": plan})
 
@@ -346,9 +345,8 @@
 
     async def steward_killed(self, trouble):
         at = trouble["steward"]
-        if at in self.away or at not in self.stewards:
-            return  # another trouble has it already, or a study plays this day with fewer
-        self.away.add(at)
+        if not self.take_steward(at):
+            return
         self.stewards[at].kill()
         self.stewards[at].wait()
         self.note_steward(at, "killed")
@@ -357,6 +355,13 @@
         self.note_steward(at, "started")
         self.away.discard(at)
 
+    def take_steward(self, at):
+        """False where another trouble has it already, or a study plays this day with fewer."""
+        if at in self.away or at not in self.stewards:
+            return False
+        self.away.add(at)
+        return True
+
     def note_steward(self, at, what):
         """By its name, as its feed has it, and by its address, as resolvers and agents know it."""
         for name in (f"ns{at + 1}", self.fleet.stewards[at][0]):
@@ -364,10 +369,9 @@
 
     async def steward_frozen(self, trouble):
         at = trouble["steward"]
-        child = self.stewards[at]
-        if at in self.away:
+        if not self.take_steward(at):
             return
-        self.away.add(at)
+        child = self.stewards[at]
         child.send_signal(signal.SIGSTOP)
         self.note_steward(at, "frozen")
         await asyncio.sleep(trouble["length"])
--- a/peatlead/day/script.py
+++ b/peatlead/day/script.py
@@ -6,7 +6,6 @@
 from ..settings.shapes import Field, flag, many, number, one_of, part, seconds, some_seconds, text
 
 KINDS = ("keeps", "twice", "tenfold", "least", "stale")
-NAMED = Field(text, "", "what reports call it")
 AT = Field(seconds, 0.0, "seconds into the day")
 LENGTH = Field(some_seconds, 10.0, "seconds that it lasts")
 PART = Field(part, 0.1, "part of the hosts")
--- a/peatlead/dns/answers.py
+++ b/peatlead/dns/answers.py
@@ -25,7 +25,6 @@
 
 RING = 64  # answers that are ordered ahead at a time
 PLAIN_UDP = 512  # bytes without EDNS (RFC 1035 section 4.2.1)
-FLAGS_RD, FLAGS_QR_AA = 0x0100, 0x8400
 NEGATIVE = 5  # seconds that a name which is none may be remembered (RFC 2308 section 5)
 HOST_TYPES = {dns.rdatatype.A: 4, dns.rdatatype.AAAA: 6}
 POINTER = b"\xc0\x0c"  # the question's name, at offset 12
--- a/peatlead/standin/desks.py
+++ b/peatlead/standin/desks.py
@@ -13,7 +13,6 @@
 from ..net.http import Failed, connect
 from .resolvers import Resolver
 
-HABITS = ("first", "any", "same", "sorted", "holds")
 LOOKUP_WAIT = 1.5
 CONNECT_WAIT = 0.7
 IDLE_MOST = 4  # connections that a client keeps
--- a/peatlead/steward/steward.py
+++ b/peatlead/steward/steward.py
@@ -198,9 +198,9 @@
                 continue
             state = self.states[view.index]
             state.apply(message.ops)
-            for at, kinds in enumerate(self.services):
-                changed[view.index, at] = state.lines(kinds[0])
-            self.tell_feed(now, view.name, message, [len(state.lines(kinds[0])) for kinds in self.services])
+            tables = [state.lines(kinds[0]) for kinds in self.services]
+            changed.update({(view.index, at): table for at, table in enumerate(tables)})
+            self.tell_feed(now, view.name, message, [len(table) for table in tables])
         if changed:
             self.show(changed, ())
         if self.channel.next_at is not None:
@@ -292,8 +292,7 @@
 
     def tell_answer(self, question):
         """What a view would be told now, and why."""
-        view = self.views.by_name.get(question.view) or next(
-            (v for v in self.views.views if v.name == question.view), None)
+        view = next((v for v in self.views.views if v.name == question.view), None)
         service = self.answers.services.get(question.service or self.settings["service"][0]["label"])
         if view is None or service is None:
             return {"error": f"expected a view and a service of the settings, got {question.view!r} "
