--- /dev/null
+++ b/peatlead/platform/__main__.py
@@ -0,0 +1,49 @@
+"""`python -m peatlead.platform`: one steward on the platform, as NODE_CONFIG tells it, until SIGTERM.
+
+Exit 0 after SIGTERM or SIGINT, 1 where it can't start, 3 where a decide raised.
+"""
+
+import sys
+
+# Nothing here speaks TLS or hashes by OpenSSL: asyncio and hashlib do without where it is missing. It would take
+# 5 of the 32 MB that a steward may have.
+sys.modules["ssl"] = sys.modules["_hashlib"] = None
+
+import asyncio  # noqa: E402
+import gc  # noqa: E402
+import os  # noqa: E402
+import signal  # noqa: E402
+import time  # noqa: E402
+
+from .configuration import BadConfiguration  # noqa: E402
+from .messages import ENCODER  # noqa: E402
+from .node import Node, reader  # noqa: E402
+
+
+def log(event, **fields):
+    """One JSON object a line on standard error; a reader that is gone does not end the steward."""
+    try:
+        os.write(2, ENCODER.encode({"at": round(time.time(), 3), "event": event, **fields}) + b"\n")
+    except OSError:
+        pass
+
+
+async def serve():
+    read = reader(os.environ, time.time)
+    try:
+        node = Node(read(), read, log, time.time)
+        loop = asyncio.get_running_loop()
+        for one in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(one, node.stop)
+        loop.add_signal_handler(signal.SIGHUP, node.reload)
+        await node.start()
+    except (BadConfiguration, OSError) as problem:
+        log("cannot start", why=str(problem))
+        return 1
+    gc.collect()
+    gc.freeze()
+    return 0 if await node.ended == "stopped" else 3
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(serve()))
--- /dev/null
+++ b/peatlead/platform/front.py
@@ -0,0 +1,165 @@
+"""The steward's address: streams of proxies, collectors, and whoever else connects.
+
+Only bytes, deadlines and bounds are guarded here; what a joined party says goes to `owner`:
+
+    owner.ready                    whether a sign of life may be given
+    owner.accept(caller, hello)    the proxy's number, or None where there is no such proxy
+    owner.collects(agent)          whether there is such a collector
+    owner.joined(caller)           a proxy's stream, `caller.proxy` its number
+    owner.left(caller)             it has ended
+    owner.said(caller, message)    an Outcomes, Demand or Ack
+"""
+
+import asyncio
+import socket
+
+from ..net.streams import Lines
+from .messages import ALIVE, Agent, Hello, Question, Spoilt, Unreadable, read_line, write_error
+
+JOIN_WITHIN = 1.3  # seconds that one may take to join, or is told an error and closed
+FIRST_MOST, LINE_MOST = 4096, 65536  # bytes of a line: before joining; after it. Ours are some hundred
+UNREAD_MOST = 128 << 10  # bytes that a party may leave unread
+AT_ONCE, BACKLOG = 16, 1024  # connections taken in one turn of the loop; that may wait meanwhile
+SPARE = 24  # descriptors for the listener, the loop, discovery and files
+
+
+class Caller(Lines):
+    """One connection. `proxy`: the number of the proxy that joined on it, None for all others."""
+
+    def __init__(self, front):
+        super().__init__(longest=FIRST_MOST, waiting_most=UNREAD_MOST)
+        self.front, self.proxy, self.joined, self.over, self.asked, self.deadline = front, None, False, False, 0, None
+
+    def opened(self):
+        self.deadline = self.loop.call_later(JOIN_WITHIN, self.refuse, "expected a message that joins")
+        self.front.add(self)
+
+    def received(self, data):
+        if not self.over:
+            super().received(data)
+
+    def line(self, data):
+        if self.over or not data.strip():
+            return
+        try:
+            message = read_line(data)
+        except Spoilt as problem:
+            self.front.count("spoilt")
+            if not self.joined:
+                self.refuse(str(problem))
+            return
+        except Unreadable as problem:
+            self.refuse(str(problem))  # the end of this one: nothing on it can be trusted any more
+            return
+        self.take(message)
+
+    def take(self, message):
+        kind = type(message)
+        if kind is Question:
+            self.answer()
+        elif kind is Hello or kind is Agent:
+            self.join(message)
+        elif not self.joined:
+            self.refuse("expected a message that joins first")
+        else:
+            self.front.owner.said(self, message)
+
+    def answer(self):
+        if self.front.owner.ready:
+            self.send(ALIVE)
+        else:
+            self.asked += self.asked < 8  # answered as soon as it is
+
+    def join(self, message):
+        owner, first = self.front.owner, not self.joined
+        if type(message) is Agent:
+            if self.proxy is not None or not owner.collects(message):
+                self.refuse("expected a collector's zone")
+                return
+        elif not first and self.proxy is None or (number := owner.accept(self, message)) is None:
+            self.refuse("expected a proxy's number and zone")
+            return
+        elif not first:
+            return  # it is said twice
+        else:
+            self.proxy = number
+        self.joined, self.longest = True, LINE_MOST
+        self.deadline.cancel()
+        self.front.unjoined.pop(self, None)
+        if self.proxy is not None:
+            owner.joined(self)
+
+    def refuse(self, why):
+        """An error, then the end. What it goes on sending is not read."""
+        if self.over:
+            return
+        self.over, self.part = True, b""
+        self.front.count("refused")
+        self.send(write_error(why))
+        self.close()
+
+    def cut(self, reason):
+        self.over = True
+        super().cut(reason)
+
+    def ended(self, reason):
+        self.over, self.part = True, b""
+        self.deadline.cancel()
+        self.front.remove(self, reason)
+
+
+class Front:
+    """All connections of the address, `most` at once: past that the one that waits longest without having joined is
+    cut, and where all have joined the new one."""
+
+    def __init__(self, owner, sockets, reserved):
+        self.owner, self.most = owner, max(8, sockets - SPARE - AT_ONCE - reserved)
+        self.callers, self.unjoined, self.counts, self.server, self.listener = {}, {}, {}, None, None
+
+    async def open(self, place):
+        """Raises OSError."""
+        listener = socket.socket(socket.AF_INET6 if ":" in place[0] else socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.setblocking(False)
+            listener.bind(place)
+            loop = asyncio.get_running_loop()
+            self.server = await loop.create_server(lambda: Caller(self), sock=listener, backlog=AT_ONCE)
+            listener.listen(BACKLOG)  # a herd waits there; it is taken `AT_ONCE` at a time, or it would pass `most`
+        except OSError:
+            listener.close()
+            raise
+
+    def close(self):
+        if self.server is not None:
+            self.server.close()
+        for caller in list(self.callers):
+            caller.cut("the steward ends")
+
+    def add(self, caller):
+        if len(self.callers) >= self.most:
+            oldest = next(iter(self.unjoined), caller)
+            self.unjoined.pop(oldest, None)
+            self.count("evicted")
+            oldest.cut("too many connections")
+        self.callers[caller] = self.unjoined[caller] = True
+
+    def remove(self, caller, reason):
+        self.callers.pop(caller, None)
+        self.unjoined.pop(caller, None)
+        if caller.proxy is not None:
+            self.count(f"proxy: {reason}")
+            self.owner.left(caller)
+
+    def alive(self):
+        """The steward is ready: those that have asked are answered."""
+        for caller in list(self.callers):
+            if caller.asked:
+                caller.send(ALIVE * caller.asked)
+                caller.asked = 0
+
+    def count(self, what):
+        """Kinds of ends are few: reasons of ours and names of errors."""
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+
--- /dev/null
+++ b/peatlead/platform/messages.py
@@ -0,0 +1,245 @@
+"""What crosses the platform's sockets, as our words: lines, lists, load reports, the configuration. No I/O, no clock.
+
+The platform's names and units (milliseconds, `endpoint`, `rtt`, `nonce`) stay in here. Whatever comes in is checked
+whole before anything of it is used: `Unreadable` where it is no message at all, `Spoilt` where a message has a field
+that is missing, of another type or out of range. Source: the platform's pages on its protocol and its deployment.
+"""
+
+from typing import Annotated, Literal, NamedTuple, Optional, Union
+
+import msgspec
+from msgspec import Meta, Struct, json
+
+from ..sources.listing import HOSTS_MOST, Entry, Listing
+
+LINE_MOST = 1 << 20  # bytes of one line, either way
+PARTS_MOST = 64  # lines that one message may come in
+LINES_A_PART = 10_000  # of 100 bytes at most: one part stays within LINE_MOST
+PHASES = {"active": "ready", "leaving": "draining", "left": "gone"}
+RETRIES = {"never": 0, "unstarted": 1, "once": 2, "twice": 3}
+REPORTS = {"inflight": "holding", "queue": "waiting", "util": "util", "latency_ms": "service_ms", "qps": "done_rate",
+           "eps": "bad_rate"}
+
+Count = Annotated[float, Meta(ge=0, le=1e7)]
+Milliseconds = Annotated[float, Meta(ge=0, le=1e7)]
+Span = Annotated[float, Meta(gt=0, le=1e7)]
+Name = Annotated[str, Meta(min_length=1, max_length=255)]
+Report = dict[str, Optional[Annotated[float, Meta(ge=0, le=1e9)]]]
+
+
+class Unreadable(ValueError):
+    """No message: not a JSON object. What follows on that stream is lost too."""
+
+
+class Spoilt(ValueError):
+    """A message with a field that can't be used, its kind among them; those around it are good."""
+
+
+class Hello(Struct, tag="hello", tag_field="msg"):
+    """A proxy's stream begins: its number, zone, usual reqs a second; `cold`: it holds no ordered table."""
+    node: Annotated[int, Meta(ge=0, le=1 << 31)]
+    locality: Name
+    w: Annotated[float, Meta(ge=0, le=1e9)] = 0.0
+    cold: bool = True
+
+
+class Agent(Struct, tag="agent", tag_field="msg"):
+    """A collector's connection begins: its zone."""
+    locality: Name
+
+
+class Outcomes(Struct, tag="outcomes", tag_field="msg"):
+    """What the proxies of a zone met at a host."""
+    locality: Name
+    endpoint: Name
+    total: Count
+    errors: Count
+    interval: Span
+    rtt: Milliseconds = 0.0
+    metrics: Optional[Report] = None
+
+
+class Demand(Struct, tag="demand", tag_field="msg"):
+    """Reqs of one kind that came to a proxy."""
+    node: Annotated[int, Meta(ge=0, le=1 << 31)]
+    route: Name
+    total: Count
+    interval: Span
+    errors: Count = 0.0
+
+
+class Ack(Struct, tag="ack", tag_field="msg"):
+    """A proxy has applied all up to a mark."""
+    node: Annotated[int, Meta(ge=0, le=1 << 31)]
+    nonce: Annotated[int, Meta(ge=0, le=1 << 32)]
+    latency: Milliseconds
+
+
+class Question(Struct, tag="probe", tag_field="msg"):
+    """Anyone asks for a sign of life."""
+
+
+Heard = Union[Hello, Agent, Outcomes, Demand, Ack, Question]
+LINE = json.Decoder(Heard)
+ENCODER = json.Encoder()
+ALIVE = b'{"msg":"alive"}\n'
+
+
+def read_line(data):
+    """One of `Heard`. Raises Unreadable or Spoilt, each with a sentence for the sender."""
+    try:
+        found = LINE.decode(data)
+    except msgspec.ValidationError as problem:
+        raise (Spoilt if is_object(data) else Unreadable)(str(problem)) from None
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as problem:
+        raise Unreadable(str(problem)) from None
+    if type(found) in (Outcomes, Demand) and found.errors > found.total:
+        raise Spoilt("expected at most as many errors as there were tries")
+    return found
+
+
+def is_object(data):
+    """A form that is wrong is found before the rest is read: only all of it tells whether it is JSON."""
+    try:
+        return isinstance(json.decode(data), dict)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return False
+
+
+def write_error(why):
+    return ENCODER.encode({"msg": "error", "why": why[:200]}) + b"\n"
+
+
+def our_report(said):
+    """{our name: number} of a load report, or None where it holds none."""
+    return {REPORTS[name]: value for name, value in (said or {}).items()
+            if name in REPORTS and value is not None} or None
+
+
+def read_report(body):
+    """The same of a probe's body; a body that is none is passed over: that it answered is news enough."""
+    try:
+        return our_report(json.decode(body, type=Report))
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+
+
+# Orders.
+
+class Table(NamedTuple):
+    """A part of a message. `kinds`: names of request kinds, None for all; `lines`: [(host's name, weight)];
+    `level`: (share, retry) or None."""
+    kinds: Optional[tuple]
+    whole: bool
+    lines: list
+    level: Optional[tuple]
+
+
+def write_message(tables, shut, opened, mark):
+    """The bytes of one message for one proxy: [Table], names of hosts to shut out and to let in, a mark or None.
+    Empty where there is nothing to say."""
+    parts = []
+    for table in tables:
+        for at in range(0, len(table.lines) or 1, LINES_A_PART):
+            part = {"msg": "push"}
+            if table.kinds is not None:
+                part["routes"] = table.kinds
+            if table.whole and not at:
+                part["full"] = True
+            if table.lines or table.whole:
+                part["endpoints"] = [(name, round(weight, 6)) for name, weight in table.lines[at:at + LINES_A_PART]]
+            if table.level is not None and not at:
+                part["admit"], part["policy"] = table.level[0], RETRIES[table.level[1]]
+            parts.append(part)
+    last = {name: value for name, value in (("eject", shut), ("restore", opened)) if value}
+    if mark is not None:
+        last["nonce_out"] = mark
+    if last:
+        if parts:
+            parts[-1].update(last)
+        else:
+            parts.append({"msg": "push", **last})
+    if len(parts) > PARTS_MOST:
+        raise ValueError(f"expected at most {PARTS_MOST} parts of a message, made {len(parts)}")
+    for part in parts[:-1]:
+        part["continued"] = True
+    return b"".join(ENCODER.encode(part) + b"\n" for part in parts)
+
+
+# Discovery.
+
+class Instance(Struct):
+    instanceId: Name
+    hostPort: str
+    zone: str
+    lifecycle: Literal["active", "leaving", "left"]
+    machineType: str = ""
+    cell: int = 0
+    weight: Annotated[float, Meta(ge=0, le=1e9)] = 1.0
+    startedAtMs: Annotated[float, Meta(ge=0)] = 0.0
+
+
+class Instances(Struct):
+    generation: int
+    instances: list[msgspec.Raw]
+    reset: bool = False
+
+
+LIST, INSTANCE = json.Decoder(Instances), json.Decoder(Instance)
+
+
+def read_list(body, written):
+    """A Listing of discovery's answer that came at `written`, Unix seconds. One bad entry does not cost the others;
+    no list at all raises Unreadable."""
+    try:
+        said = LIST.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as problem:
+        raise Unreadable(f"not a list: {problem}") from None
+    if len(said.instances) > HOSTS_MOST:
+        raise Unreadable(f"expected at most {HOSTS_MOST} hosts, got {len(said.instances)}")
+    hosts, bad = {}, []
+    for at, raw in enumerate(said.instances):
+        try:
+            entry = entry_of(INSTANCE.decode(raw))
+            hosts[entry.name] = entry
+        except (msgspec.MsgspecError, ValueError) as problem:
+            bad.append(f"host {at}: {problem}")
+    return Listing("whole" if said.reset else "changes", said.generation, written, tuple(hosts.values()), tuple(bad))
+
+
+def entry_of(one):
+    address, port = read_place(one.hostPort)
+    return Entry(name=one.instanceId, zone=one.zone, phase=PHASES[one.lifecycle], address=address, port=port,
+                 machine=one.machineType, pod=one.cell, weight=one.weight, started=one.startedAtMs / 1000)
+
+
+def read_place(text):
+    """(address, port) of "10.0.0.4:8080"; ValueError."""
+    address, _, port = text.rpartition(":")
+    if not (address and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise ValueError(f"expected ADDRESS:PORT, got {text!r}")
+    return address, int(port)
+
+
+# The configuration.
+
+class Limits(Struct, frozen=True):
+    sockets: Annotated[int, Meta(ge=32)] = 1024
+
+
+class Document(Struct):
+    name: str
+    listen: str
+    discovery: str
+    settings: dict
+    seed: str = "0"
+    known: msgspec.Raw = msgspec.Raw()  # empty: none
+    limits: Limits = Limits()
+
+
+def read_document(data):
+    """A Document. Raises Unreadable."""
+    try:
+        return json.decode(data, type=Document)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as problem:
+        raise Unreadable(f"not a configuration: {problem}") from None
--- /dev/null
+++ b/peatlead/platform/node.py
@@ -0,0 +1,240 @@
+"""The steward on the platform: joins the front, the watch and the probes to the core. Nothing is decided here.
+
+One message a batch and proxy, written at once: the platform's channel paces them, and the planner counts what waits
+there. What a proxy shuts out outlives its streams, while an order of ours means the steward that it is joined to: so
+each stream keeps which hosts its proxy may still shut out on another's word, and lets them in with the line that
+names them.
+"""
+
+from random import Random
+
+from .. import interface as our
+from ..choice import Planner
+from ..probes.prober import Prober
+from ..steward.core import Core
+from ..steward.door import Door
+from .configuration import BadConfiguration, read_configuration
+from .discovery import Watch
+from .front import Front
+from .messages import Ack, Demand, Table, our_report, read_report, write_message
+
+PROBES_AT_ONCE, PROBES_WAITING, PROBE_PATH = 24, 1000, "/status/load"
+FIRST_LIST = 1.0  # seconds that the first answer to a probe waits for discovery's list, where an old one is known
+SWEEP = 5.0  # seconds between looks for hosts that the planner has forgotten
+OUTCOMES = {200: "ok", 503: "errored"}
+
+
+class Node(Core):
+    """`told`: a configuration; `reread()` gives it anew; `log(event, **fields)`; `wall()` Unix seconds, read once:
+    from then on all times are the loop's. `await start()` opens sockets (OSError)."""
+
+    def __init__(self, told, reread, log, wall, planner=Planner):
+        super().__init__(planner(told.facts, told.seed), log)
+        self.told, self.reread, self.facts = told, reread, told.facts
+        self.ahead = wall() - self.loop.time()
+        self.kinds = [kind["name"] for kind in self.facts["req_kinds"]]
+        self.kind_at = {name: at for at, name in enumerate(self.kinds)}
+        self.door = Door(self.facts["zones"], log, self.facts.get("machines", ()), unstarted_old=True)
+        self.front = Front(self, told.sockets, PROBES_AT_ONCE)
+        self.watch = Watch(told.discovery, self.on_listing, log, self.wall, Random(told.seed ^ 1))
+        self.prober = Prober({
+            "path": PROBE_PATH, "deadline": self.facts.get("connect_timeout", 0.25), "at_once": PROBES_AT_ONCE,
+            "waiting_most": PROBES_WAITING}, self.on_probe, read_answer)
+        self.carriers[our.Probe] = self.send_probe
+        self.streams, self.ready, self.changed = {}, False, set()  # changed: hosts that were ever not as they are
+
+    def wall(self):
+        return self.loop.time() + self.ahead
+
+    # Its life.
+
+    async def start(self):
+        await self.front.open(self.told.listen)
+        if self.told.known is not None:
+            self.on_listing(self.told.known)
+        self.watch.start()
+        self.loop.call_later(FIRST_LIST, self.get_ready)
+        self.loop.call_later(SWEEP, self.sweep)
+        self.log("steward started", name=self.told.name, listen=f"{self.told.listen[0]}:{self.told.listen[1]}",
+                 proxies=self.facts["proxies"], kinds=self.kinds)
+
+    def stop(self, why="stopped"):
+        if self.ended.done():
+            return
+        self.ended.set_result(why)
+        self.watch.stop()
+        self.prober.stop()
+        self.front.close()
+        self.log("steward stopped", why=why, decided=self.decided, slowest=round(self.slowest, 3),
+                 ends=self.front.counts)
+
+    def get_ready(self):
+        if not self.ready:
+            self.ready = True
+            self.front.alive()
+
+    def reload(self):
+        """SIGHUP: discovery may have moved. All else that differs needs a start; what stands goes on."""
+        try:
+            told = self.reread()
+        except BadConfiguration as problem:
+            self.log("new configuration not taken", why=str(problem))
+            return
+        if (told.listen, told.name, told.facts) != (self.told.listen, self.told.name, self.facts):
+            self.log("new configuration: all but discovery's address is for the next start")
+        self.log("discovery's address", place=f"{told.discovery[0]}:{told.discovery[1]}")
+        self.watch.move(told.discovery)
+
+    # The list.
+
+    def on_listing(self, listing):
+        now = self.loop.time()
+        before = {entry.name: self.phase_of(entry.name) for entry in listing.hosts}
+        roster = self.door.roster(listing, now)
+        if listing.scope != "changes":
+            listed = {member.host for member in roster.members}
+            self.changed.update(at for at in self.door.entries if at not in listed)
+        for entry in listing.hosts:
+            at = self.door.index.get(entry.name)
+            if at is not None and (entry.started or {before[entry.name], entry.phase} - {None, "ready"}):
+                self.changed.add(at)
+        self.log("list", scope=listing.scope, version=listing.version, hosts=len(listing.hosts),
+                 ready=sum(one.phase == "ready" for one in listing.hosts))
+        self.hear(roster)
+        if listing.scope != "remembered":
+            self.get_ready()
+
+    def phase_of(self, name):
+        at = self.door.index.get(name)
+        return None if at is None else self.door.entries[at].phase
+
+    def sweep(self):
+        """The planner has forgotten hosts that went; so do we, or names of successors would add up."""
+        self.loop.call_later(SWEEP, self.sweep)
+        for at in [at for at in self.door.entries if at not in self.planner.hosts and not self.inbox]:
+            self.door.forget(at)
+            self.publisher.forget(at)
+            self.changed.discard(at)
+            for caller in self.streams.values():
+                caller.shut.discard(at)
+
+    # Probes.
+
+    def send_probe(self, order):
+        entry = self.door.entries[order.host]
+        self.prober.probe(order.host, (entry.address, entry.port))
+
+    def on_probe(self, host, outcome, took, report, _):
+        self.hear(our.ProbeResult(host, outcome, took, report))
+
+    # What the front asks and tells.
+
+    def accept(self, caller, hello):
+        same = caller.proxy is None or caller.proxy == hello.node
+        if not same or hello.node >= self.facts["proxies"] or hello.locality not in self.door.zones:
+            return None
+        caller.zone, caller.rate, caller.cold = self.door.zones[hello.locality], hello.w, hello.cold
+        return hello.node
+
+    def collects(self, agent):
+        return agent.locality in self.door.zones
+
+    def joined(self, caller):
+        """A new stream may come before the old one is seen to end."""
+        old = self.streams.get(caller.proxy)
+        if old is not None:
+            self.left(old)
+            old.cut("joined anew")
+        self.streams[caller.proxy] = caller
+        caller.shut = set(self.changed)
+        self.publisher.join(caller.proxy, levelled=True)
+        self.hear(our.ProxyJoined(caller.proxy, caller.zone, caller.rate, caller.cold))
+
+    def left(self, caller):
+        if self.streams.get(caller.proxy) is caller:
+            del self.streams[caller.proxy]
+            self.publisher.leave(caller.proxy)
+            self.hear(our.ProxyLeft(caller.proxy))
+
+    def said(self, caller, message):
+        """A report or a mark's answer; one that names what is not there is passed over."""
+        kind = type(message)
+        if kind is Demand:
+            at = self.kind_at.get(message.route)
+            if at is None or message.node >= self.facts["proxies"] or caller.proxy not in (None, message.node):
+                self.front.count("names nothing")
+                return
+            self.hear(our.ReqSums(message.node, at, int(message.total), int(message.errors), message.interval / 1000))
+        elif kind is Ack:
+            if message.node != caller.proxy:
+                self.front.count("names nothing")
+                return
+            self.hear(our.Applied(message.node, message.nonce, message.latency / 1000))
+        else:
+            host, zone = self.door.index.get(message.endpoint), self.door.zones.get(message.locality)
+            if host is None or zone is None:
+                self.front.count("names nothing")
+                return
+            self.hear(our.HostSums(host, zone, int(message.total), int(message.errors), message.interval / 1000,
+                                   message.rtt / 1000, our_report(message.metrics)))
+
+    # Orders.
+
+    def offer(self, now, orders, messages, marks):
+        for proxy in messages:
+            caller = self.streams.get(proxy)
+            if caller is not None:
+                data = self.write(caller, messages[proxy], marks.get(proxy, ()))
+                if data:
+                    caller.send(data)
+
+    def write(self, caller, ops, marks):
+        """The bytes of one message. Lines of tables that it is bound to now are whole; the levels that a whole table
+        makes it forget go with it."""
+        bound, names = self.publisher.bound.get(caller.proxy, {}), self.door.entries
+        whole = {value for op, value in ops.items() if op[0] == "bind"}
+        lines, levels = {table: [] for table in whole}, {}
+        shut, opened = [], []
+        for op, value in ops.items():
+            if op[0] == "line":
+                if value or op[1] not in whole:
+                    lines.setdefault(op[1], []).append((names[op[2]].name, value))
+                if value and op[2] in caller.shut:
+                    caller.shut.discard(op[2])
+                    opened.append(names[op[2]].name)
+            elif op[0] == "level":
+                levels[op[1]] = value
+            elif op[0] == "withdrawn":
+                if value:
+                    caller.shut.add(op[1])
+                    shut.append(names[op[1]].name)
+                elif op[1] in caller.shut:
+                    caller.shut.discard(op[1])
+                    opened.append(names[op[1]].name)
+        for kind, table in bound.items():
+            if table in whole and kind in self.publisher.levels:
+                levels[kind] = self.publisher.levels[kind]
+        tables = []
+        for table, found in lines.items():
+            kinds = tuple(sorted(kind for kind, at in bound.items() if at == table))
+            if kinds:
+                tables.append(Table(self.names_of(kinds), table in whole, found, None))
+        by_level = {}
+        for kind, level in sorted(levels.items()):
+            by_level.setdefault(level, []).append(kind)
+        for level, kinds in by_level.items():
+            tables.append(Table(self.names_of(kinds), False, [], level))
+        return write_message(tables, shut, opened, marks[-1] if marks else None)
+
+    def names_of(self, kinds):
+        """None, for all of them, is shorter."""
+        return None if len(kinds) == len(self.kinds) else tuple(self.kinds[at] for at in kinds)
+
+
+def read_answer(answer):
+    """(outcome, load report or None, None) of an answer to a probe."""
+    return OUTCOMES.get(answer.status, "errored"), read_report(answer.body), None
+
+
+def reader(environ, wall):
+    return lambda: read_configuration(environ, wall())
--- a/peatlead/steward/channel.py
+++ b/peatlead/steward/channel.py
@@ -120,6 +120,11 @@
         for table in self.bound.pop(view, {}).values():
             self.users[table].discard(view)
 
+    def forget(self, host):
+        """It is gone and no table names it."""
+        self.holders.pop(host, None)
+        self.told.pop(host, None)
+
     def take(self, orders):
         """({view: {op: value}}, {view: [mark]}, the orders that are not for views)."""
         out, marks, rest = {}, {}, []
--- /dev/null
+++ b/peatlead/steward/core.py
@@ -0,0 +1,84 @@
+"""The batch loop of every steward, whatever its way in and out: inbox, timers, one decide, its orders carried.
+
+    class Mine(Core): ...
+    mine.hear(event)    # from any callback; all that comes in one turn of the loop is one batch
+
+Subclasses fill in `before`, `offer`, `after` and `stop`, and put what they do with an order of a kind into
+`carriers`. Orders of a kind that is not there are not for this steward and are passed over.
+"""
+
+import asyncio
+import traceback
+
+from .. import interface as our
+from .channel import Publisher
+
+
+class Core:
+    """`planner` makes the decisions, `log(event, **fields)` tells of them. `ended` is a future: "stopped", or the
+    error. `decided` counts batches, `slowest` is the longest decide, in seconds."""
+
+    def __init__(self, planner, log):
+        self.planner, self.log = planner, log
+        self.loop = asyncio.get_running_loop()
+        self.ended = self.loop.create_future()
+        self.publisher = Publisher()
+        self.inbox, self.step_due, self.begun, self.decided, self.slowest = [], False, 0.0, 0, 0.0
+        self.carriers = {our.SetTimer: self.set_timer, our.LogLine: self.log_line}
+
+    # For subclasses.
+
+    def before(self, now):
+        """What else this batch is to hear goes into the inbox."""
+
+    def offer(self, now, orders, messages, marks):
+        """`messages`: {proxy: {op: value}} of the batch's `orders`; `marks`: {proxy: [number]}."""
+
+    def after(self, now, events):
+        """All of the batch's orders have been carried."""
+
+    def stop(self, why="stopped"):
+        raise NotImplementedError
+
+    # The loop.
+
+    def hear(self, event):
+        self.inbox.append(event)
+        if not self.step_due:
+            self.step_due = True
+            self.loop.call_soon(self.step)
+
+    def step(self):
+        """One batch: all that came in, one decide, all of its orders."""
+        self.step_due = False
+        if self.ended.done():
+            return
+        now = self.begun = self.loop.time()
+        self.before(now)
+        events, self.inbox = self.inbox, []
+        try:
+            orders = self.planner.decide(now, events)
+        except Exception as problem:  # half decided is worse than dead: another steward answers
+            trace = traceback.extract_tb(problem.__traceback__)[-1]
+            self.log("decide failed", error=repr(problem), at=f"{trace.filename}:{trace.lineno}",
+                     events=[type(event).__name__ for event in events][:20])
+            self.stop(f"decide failed: {problem!r}")
+            return
+        self.decided += 1
+        self.slowest = max(self.slowest, self.loop.time() - now)
+        messages, marks, rest = self.publisher.take(orders)
+        self.offer(now, orders, messages, marks)
+        for order in rest:
+            carry = self.carriers.get(type(order))
+            if carry is not None:
+                carry(order)
+        self.after(now, events)
+
+    def set_timer(self, order):
+        self.loop.call_later(order.delay, self.fire, order.token, self.begun + order.delay)
+
+    def fire(self, token, due):
+        self.hear(our.TimerFired(token))
+
+    def log_line(self, order):
+        self.log("planner", text=order.text)
--- a/peatlead/steward/door.py
+++ b/peatlead/steward/door.py
@@ -6,12 +6,17 @@
 
 
 class Door:
-    """Hosts by name outside, by index inside. An index is never used again: orders name hosts by it."""
+    """Hosts by name outside, by index inside. An index is never used again: orders name hosts by it.
 
-    def __init__(self, settings, log):
-        self.zones = {zone["name"]: at for at, zone in enumerate(settings["zone"])}
-        self.log, self.index, self.entries, self.machines, self.started = log, {}, [], {}, {}
-        self.listed = False
+    `zones`, `machines`: names in the order of the settings; `unstarted_old`: a host that tells no start has run for
+    long, whenever it is first listed.
+    """
+
+    def __init__(self, zones, log, machines=(), unstarted_old=False):
+        self.zones = {zone: at for at, zone in enumerate(zones)}
+        self.machines = {machine: at for at, machine in enumerate(machines)}
+        self.log, self.index, self.entries, self.started = log, {}, {}, {}
+        self.listed, self.unstarted_old, self.next = False, unstarted_old, 0
 
     def roster(self, listing, now):
         """The planner's event for a Listing, and the indices of the hosts in it."""
@@ -21,8 +26,11 @@
             if zone is None:
                 self.log("list entry left out", host=entry.name, why=f"zone {entry.zone!r} is not in the settings")
                 continue
-            at = self.index.setdefault(entry.name, len(self.entries))
-            self.entries[at:at + 1] = [entry]
+            at = self.index.get(entry.name)
+            if at is None:
+                at = self.index[entry.name] = self.next
+                self.next += 1
+            self.entries[at] = entry
             machine = self.machines.setdefault(entry.machine, len(self.machines))
             members.append(our.Member(at, entry.name.encode(), zone, machine, entry.pod, entry.phase,
                                       entry.weight, self.start_of(entry, listing.written, now)))
@@ -35,7 +43,14 @@
         key = entry.name, entry.started
         if key not in self.started:
             known = written > 0 and entry.started > 0
-            age = max(0.0, written - entry.started) if known else (0.0 if self.listed else LONG_AGO)
+            unknown = LONG_AGO if self.unstarted_old or not self.listed else 0.0
+            age = max(0.0, written - entry.started) if known else unknown
             self.started = {k: v for k, v in self.started.items() if k[0] != entry.name}
             self.started[key] = now - age
         return self.started[key]
+
+    def forget(self, at):
+        """A host that nobody holds any more. Listed again, it is a new one."""
+        entry = self.entries.pop(at)
+        del self.index[entry.name]
+        self.started.pop((entry.name, entry.started), None)
--- a/peatlead/steward/steward.py
+++ b/peatlead/steward/steward.py
@@ -1,7 +1,5 @@
 """The steward: events in, orders out, and everything between them and the sockets."""
 
-import asyncio
-import traceback
 from ipaddress import ip_address
 from random import Random
 
@@ -13,13 +11,15 @@
 from ..dns.thin import Thinning
 from ..dns.views import Views
 from ..fleet.node import FleetNode
-from ..probes.news import News
+from ..net.orca import HEADER, read_report
+from ..probes.news import News, read_told
 from ..probes.prober import Prober
 from ..sources.file import FileSource
-from ..sources.listing import Memory
+from ..sources.memory import Memory
 from .burden import Beat, Burden, Gather, Say
-from .channel import Channel, Publisher, ViewState, taken_away
+from .channel import Channel, ViewState, taken_away
 from .control import Control
+from .core import Core
 from .door import Door
 from .facts import facts_of
 from .proxies import Proxies
@@ -29,7 +29,7 @@
 PUMP_MOST = 300  # messages sent in one callback: what comes in meanwhile waits no longer than these take
 
 
-class Steward:
+class Steward(Core):
     """One steward of a settings map.
 
     `log(event, **fields)`; `planner(facts, seed)` makes the decisions; `folder` keeps what outlives it;
@@ -40,20 +40,19 @@
 
     def __init__(self, settings, name, log, planner=Planner, folder=None, source=FileSource, boot=b"\1" * 8,
                  wall=lambda: 0.0):
-        self.settings, self.log = settings, log
+        self.settings = settings
         self.me = next(one for one in settings["steward"] if one["name"] == name)
-        self.loop = asyncio.get_running_loop()
-        self.ended = self.loop.create_future()
         chance = Random(self.me["seed"])
         self.views = Views(settings)
         self.numbers = [view.number for view in self.views.views]
-        self.planner = planner(facts_of(settings, self.me, len(self.numbers)), self.me["seed"])
+        super().__init__(planner(facts_of(settings, self.me, len(self.numbers)), self.me["seed"]), log)
+        self.carriers.update({our.Probe: self.send_probe, our.Admit: self.set_levels,
+                              our.FetchRoster: self.fetch_list, our.SendPeer: self.send_note})
         self.answers = Answers(settings, self.views, chance.uniform)
         self.front = DnsFront(settings["dns"], self.answers)
-        self.door = Door(settings, log)
+        self.door = Door([zone["name"] for zone in settings["zone"]], log)
         limits = settings["limits"]
         self.channel = Channel(limits["channel_rate"], limits["message_head"], limits["queue_most"])
-        self.publisher = Publisher()
         self.states = [ViewState() for _ in self.numbers]
         self.services = service_kinds(settings)
         self.thinning = Thinning({(view.index, at): view.rate for view in self.views.views
@@ -61,7 +60,8 @@
         kinds = [kind["name"] for kind in settings["request_kind"]]
         self.levels, self.kinds = {}, kinds
         self.news = News(kinds, self.view_of, self.views_zone(), settings["choices"]["sums_every"])
-        self.prober = Prober(settings["probes"], self.me["listen"][0], self.on_probe, self.levels_text)
+        self.prober = Prober(settings["probes"], self.on_probe, read_answer, self.probe_headers,
+                             self.me["listen"][0])
         self.burden = Burden(settings["choices"]["sums_every"], Random(self.me["seed"] + 11).uniform)
         self.memory = Memory(folder and f"{folder}/list-{name}")
         self.source = source(settings["node_list"], self.on_listing, log)
@@ -81,8 +81,8 @@
         self.story = Story()
         self.control.answers["why"] = self.tell_why
         self.left_at = {}  # host -> when the last answer could name it
-        self.inbox, self.step_due, self.pump_due, self.networks = [], False, None, {}
-        self.fresh_for, self.decided, self.slowest, self.waking = limits["bare_most"] / 4, 0, 0.0, False
+        self.pump_due, self.networks = None, {}
+        self.fresh_for, self.waking = limits["bare_most"] / 4, False
 
     def views_zone(self):
         return [zone["name"] for zone in self.settings["zone"]].index(self.me["zone"])
@@ -134,12 +134,6 @@
         self.log("steward stopped", why=why, decided=self.decided)
         self.ended.set_result(why)
 
-    def hear(self, event):
-        self.inbox.append(event)
-        if not self.step_due:
-            self.step_due = True
-            self.loop.call_soon(self.step)
-
     def fire(self, token, due):
         """The planner's timer. How late it runs tells what this steward may take on."""
         now = self.loop.time()
@@ -148,17 +142,13 @@
                 self.proxies.gathered.wait = order.seconds
             elif type(order) is Say:
                 self.log("burden", text=order.text)
-        self.hear(our.TimerFired(token))
+        super().fire(token, due)
 
     def takes_question(self):
         return self.burden.takes_question(self.loop.time())
 
-    def step(self):
-        """One batch: all that came in, one decide, all of its orders."""
-        self.step_due = False
-        if self.ended.done():
-            return
-        now = self.loop.time()
+    def before(self, now):
+        """First of all what a stall has made stale; then the sums that are due."""
         stalled = 0 < self.front.fresh_until < now
         if stalled and not self.waking:
             self.waking = True
@@ -168,18 +158,9 @@
         if self.proxies:
             self.inbox += self.proxies.gathered.due(now)
         self.note_rates(news)
-        events, self.inbox = self.inbox, []
-        try:
-            orders = self.planner.decide(now, events)
-        except Exception as problem:  # half decided is worse than dead: another steward answers
-            trace = traceback.extract_tb(problem.__traceback__)[-1]
-            self.log("decide failed", error=repr(problem), at=f"{trace.filename}:{trace.lineno}",
-                     events=[type(event).__name__ for event in events][:20])
-            self.stop(f"decide failed: {problem!r}")
-            return
-        self.decided += 1
-        self.slowest = max(self.slowest, self.loop.time() - now)
-        self.carry(now, orders)
+
+    def after(self, now, events):
+        self.pump()
         if any(type(event) is our.TimerFired for event in events) or self.decided == 1:
             self.refresh(now)
             self.published.tick(now)
@@ -201,8 +182,7 @@
 
     # Orders.
 
-    def carry(self, now, orders):
-        messages, marks, rest = self.publisher.take(orders)
+    def offer(self, now, orders, messages, marks):
         causes = self.published.causes
         for order in orders:
             if type(order) is our.LogLine:
@@ -217,23 +197,23 @@
                 if self.holds(view, host):
                     self.story.losing(now, host, view)
             self.channel.offer(now, view, messages[view], marks.get(view, ()), causes.of_all(messages[view]))
-        for order in rest:
-            kind = type(order)
-            if kind is our.SetTimer:
-                self.loop.call_later(order.delay, self.fire, order.token, now + order.delay)
-            elif kind is our.Probe:
-                entry = self.door.entries[order.host]
-                self.prober.probe(order.host, entry.address or entry.address6)
-            elif kind is our.LogLine:
-                self.log("planner", text=order.text)
-            elif kind is our.Admit:
-                self.levels.update({at: order.level for at in order.kinds})
-            elif kind is our.FetchRoster:
-                self.loop.call_soon(lambda: self.source.fetch(self.loop.time()))
-            elif kind is our.SendPeer and self.fleet:
-                self.fleet.tell(order.payload)
-            # WatchRoster: the file is always watched.
-        self.pump()
+
+    def send_probe(self, order):
+        entry = self.door.entries[order.host]
+        self.prober.probe(order.host, (entry.address or entry.address6, self.settings["probes"]["port"]))
+
+    def probe_headers(self):
+        return [("peatlead-levels", self.levels_text())]
+
+    def set_levels(self, order):
+        self.levels.update({at: order.level for at in order.kinds})
+
+    def fetch_list(self, _):
+        self.loop.call_soon(lambda: self.source.fetch(self.loop.time()))
+
+    def send_note(self, order):
+        if self.fleet:
+            self.fleet.tell(order.payload)
 
     def pump(self):
         """Sends what may leave now, and comes back when more may."""
@@ -486,6 +466,13 @@
             "fresh": self.front.fresh_until >= self.loop.time()}
 
 
+def read_answer(answer):
+    """(outcome, load report or None, what the host told of its reqs or None) of an answer to a probe."""
+    outcome = {200: "ok", 503: "denied", 429: "denied"}.get(answer.status, "errored")
+    report = read_report(answer.headers.get(HEADER, "")) or None
+    return outcome, report, read_told(answer.body) if outcome == "ok" else None
+
+
 def host_told(host, now):
     """What the planner knows of a host."""
     return {"phase": host.phase, "usable": host.usable, "share": host.share, "reach": host.reach,
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -275,7 +275,7 @@
             await until(lambda: not prober.tasks)
             prober.settings = {**prober.settings, "at_once": 2, "waiting_most": 3}
             for host in range(100, 110):
-                prober.probe(host, "127.10.9.1")
+                prober.probe(host, ("127.10.9.1", world.port))
             return len(prober.tasks), len(prober.waiting), prober.dropped
         self.assertEqual(play(case), (2, 3, 5))
 
--- a/tests/test_steward_parts.py
+++ b/tests/test_steward_parts.py
@@ -13,7 +13,8 @@
 from peatlead.net.orca import read_report, write_report
 from peatlead.probes.news import News, Told, read_told
 from peatlead.sources.file import FileSource
-from peatlead.sources.listing import BadListing, Listing, Memory, read_document
+from peatlead.sources.listing import BadListing, Listing, read_document
+from peatlead.sources.memory import Memory
 from peatlead.steward.channel import Channel, Publisher, ViewState
 from peatlead.steward.door import Door
 
@@ -203,7 +204,7 @@
             self.assertEqual(memory.recall()[0].version, 1)
 
     def test_a_process_keeps_the_start_it_was_first_seen_with(self):
-        door = Door(settings(), lambda *_, **__: None)
+        door = Door([zone["name"] for zone in settings()["zone"]], lambda *_, **__: None)
         first = door.roster(read_document(self.document(self.HOST)), 1000.0).members[0]
         again = door.roster(read_document(self.document(self.HOST, version=2, written=130.0)), 1031.0).members[0]
         anew = door.roster(read_document(self.document({**self.HOST, "started": 130.0}, version=3, written=131.0)),
@@ -212,7 +213,7 @@
         self.assertEqual((first.host, anew.host), (0, 0))
 
     def test_a_zone_that_is_not_in_the_settings_is_left_out(self):
-        door = Door(settings(), lambda *_, **__: None)
+        door = Door([zone["name"] for zone in settings()["zone"]], lambda *_, **__: None)
         listing = Listing("whole", 1, 0.0, read_document(self.document({**self.HOST, "zone": "mars"})).hosts)
         self.assertEqual(door.roster(listing, 0.0).members, ())
 
