--- a/peatlead/platform/messages.py
+++ b/peatlead/platform/messages.py
@@ -11,14 +11,17 @@
 from msgspec import Meta, Struct, json
 
 from ..sources.listing import HOSTS_MOST, Entry, Listing
+from ..wire import names
 
 LINE_MOST = 1 << 20  # bytes of one line, either way
 PARTS_MOST = 64  # lines that one message may come in
 LINES_A_PART = 10_000  # of 100 bytes at most: one part stays within LINE_MOST
 PHASES = {"active": "ready", "leaving": "draining", "left": "gone"}
 RETRIES = {"never": 0, "unstarted": 1, "once": 2, "twice": 3}
+# Load reports come under the settings' names for their fields, as on the simulator's wire; the pages' own examples
+# use others.
 REPORTS = {"inflight": "holding", "queue": "waiting", "util": "util", "latency_ms": "service_ms", "qps": "done_rate",
-           "eps": "bad_rate"}
+           "eps": "bad_rate", **names.REPORTS}
 
 Count = Annotated[float, Meta(ge=0, le=1e7)]
 Milliseconds = Annotated[float, Meta(ge=0, le=1e7)]
