--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -27,6 +27,7 @@
 FIRST_SHARE, STEP, GROW_WAIT = 0.25, 0.25, 10 / 3  # of the weight, at a start; each step, and its seconds
 STRAIN_GAP, FIRST_REGAIN = 5.0, 10.0  # until relief is heard; a slow host's first wait, doubled each time
 NOTE_HOSTS, NOTE_BYTES = 20, 250  # failing hosts that a round tells the other stewards of; of one note
+FORGET = 60.0  # seconds until a host that went is forgotten: no proxy brings a table that names it any more
 QUIET_WAIT, LONGEST_WAIT = 10.0, 60.0  # a dropped member's first wait, doubled each time that it fails again
 FAR_MUCH = 0.3  # of the response target: later than at home, on the whole of a way
 HOME_WORTH = 0.02  # of gain, a crossing: below, it is not worth the risk that a zone brings more than assumed
@@ -74,6 +75,7 @@
         self.reach, self.spared = 1.0, frozenset()  # part of the reqs that may come; proxies that do without
         self.regain_at, self.regain_wait, self.strained_at, self.returned_at = 0.0, FIRST_REGAIN, -1e9, -1e9
         self.withdrawn, self.strikes, self.out_until, self.out_by_probe = False, 0, None, False
+        self.withdrawn_at = now
         self.probe_at, self.probe_fails, self.probe_passes, self.probes_bad = 0.0, 0, 0, 0.0
         self.clear_evidence(now)
 
@@ -389,8 +391,18 @@
         for host in self.hosts.values():
             if (host.phase != "ready") != host.withdrawn:
                 self.withdraw(host, not host.withdrawn)
+        self.forget()
         self.all_dirty()
 
+    def forget(self):
+        """Successors bear new names: records of those that went would add up without end."""
+        for host in [h for h in self.hosts.values() if h.phase == "gone" and self.now - h.withdrawn_at > FORGET]:
+            for proxy in [self.proxies[n] for n in self.held.of(host.id)]:  # that left, and what they held then
+                for group in range(len(proxy.lines)):
+                    self.set_line(proxy, group, host.id, 0.0)
+            del self.hosts[host.id]
+            self.restless.pop(host.id, None)
+
     def take_member(self, member):
         proved = not (self.listed and self.facts.get("probing"))
         host = self.hosts.setdefault(member.host, Host(member, self.now, proved))
@@ -415,7 +427,7 @@
                 and min(self.now, self.news_at) - host.good_at < 2 * (self.cycle + self.facts["sums_every"]))
 
     def withdraw(self, host, on):
-        host.withdrawn = on
+        host.withdrawn, host.withdrawn_at = on, self.now
         self.orders.append(our.Withdraw(host.id, on))
         told = {**self.held.of(host.id), **self.unbound} if on else host.told_shut
         host.told_shut = told if on else {}
@@ -740,7 +752,8 @@
         if self.now - self.round_at >= ROUND_WAIT:
             self.end_round()
         for host in {**dict.fromkeys(self.restless), **dict.fromkeys(self.due.take(self.now))}:
-            self.tend(self.hosts[host])
+            if host in self.hosts:
+                self.tend(self.hosts[host])
 
     def may_write(self, proxy, part=0.5):
         """For what can be put off: what cannot must always find room in the queue and the proxy's count."""
--- a/peatlead/probes/prober.py
+++ b/peatlead/probes/prober.py
@@ -13,8 +13,8 @@
 class Prober:
     """`probe(host, (address, port))`; `tell(host, outcome, took, report, told)` is called with what came of it.
 
-    `settings`: path, deadline (seconds for all of one probe), at_once, waiting_most; `read(answer)` gives the outcome,
-    the report and what was told; `headers()` more [(name, value)]; `local`: the address to probe from, or None.
+    `settings`: path, deadline (seconds for all of one probe), at_once, waiting_most; `read(answer)` gives outcome,
+    the report, what was told; `headers()` more [(name, value)]; `local`: the address to probe from, or None.
     """
 
     def __init__(self, settings, tell, read, headers=list, local=None):
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -5,6 +5,24 @@
 from .helpers import member, of_type, planner
 
 
+class Forgetting(unittest.TestCase):
+    def test_hosts_that_went_long_ago_leave_no_record_and_no_line(self):
+        made = planner(hosts=6, proxies=2)
+        made.decide(101.0, [our.ProxyLeft(1)])
+        for number in range(200):
+            # One of six is replaced by one of a new name, every second.
+            old, new = 5 + number, member(6 + number, (6 + number) % 2, started_at=0.0)
+            gone = member(old, old % 2, "gone")
+            made.decide(102.0 + number, [our.Roster("changes", 2 + number, (gone, new))])
+            for after in range(1, 10):
+                passed = our.ProbeResult(6 + number, "ok", 0.01, None)
+                made.decide(102.0 + number + after / 10, [our.TimerFired(0), passed])
+        self.assertLess(len(made.hosts), 75)
+        self.assertEqual({host for host in made.held.by_host if host not in made.hosts}, set())
+        self.assertEqual(set(made.restless) - set(made.hosts), set())
+        self.assertTrue(made.proxies[0].lines[0])
+
+
 class Design(unittest.TestCase):
     def test_every_steward_gives_a_proxy_the_same_shard(self):
         one, other = planner(), planner()
