Codec speaks our words outside itself; a message's tables and turned hosts in short steps

Need: the platform's names stay in its codec; write() of node.py did five things. Change: messages.py renames fields at the door (ProxyHere, HostMet, ReqsMet, MarkMet), node.py reads each kind by a step of its own; a test of kinds with tables of their own. No behaviour changed.

--- a/peatlead/platform/front.py
+++ b/peatlead/platform/front.py
@@ -3,18 +3,18 @@
 Only bytes, deadlines and bounds are guarded here; what a joined party says goes to `owner`:
 
     owner.ready                    whether a sign of life may be given
-    owner.accept(caller, hello)    the proxy's number, or None where there is no such proxy
-    owner.collects(agent)          whether there is such a collector
+    owner.accept(caller, here)     the proxy's number, or None where there is no such proxy
+    owner.collects(here)           whether there is such a collector
     owner.joined(caller)           a proxy's stream, `caller.proxy` its number
     owner.left(caller)             it has ended
-    owner.said(caller, message)    an Outcomes, Demand or Ack
+    owner.said(caller, message)    a HostMet, ReqsMet or MarkMet
 """
 
 import asyncio
 import socket
 
 from ..net.streams import Lines
-from .messages import ALIVE, Agent, Hello, Question, Spoilt, Unreadable, read_line, write_error
+from .messages import ALIVE, CollectorHere, LifeAsked, ProxyHere, Spoilt, Unreadable, read_line, write_error
 
 JOIN_WITHIN = 1.3  # seconds that one may take to join, or is told an error and closed
 FIRST_MOST, LINE_MOST = 4096, 65536  # bytes of a line: before joining; after it. Ours are some hundred
@@ -55,9 +55,9 @@
 
     def take(self, message):
         kind = type(message)
-        if kind is Question:
+        if kind is LifeAsked:
             self.answer()
-        elif kind is Hello or kind is Agent:
+        elif kind is ProxyHere or kind is CollectorHere:
             self.join(message)
         elif not self.joined:
             self.refuse("expected a message that joins first")
@@ -72,7 +72,7 @@
 
     def join(self, message):
         owner, first = self.front.owner, not self.joined
-        if type(message) is Agent:
+        if type(message) is CollectorHere:
             if self.proxy is not None or not owner.collects(message):
                 self.refuse("expected a collector's zone")
                 return
--- a/peatlead/platform/messages.py
+++ b/peatlead/platform/messages.py
@@ -8,7 +8,7 @@
 from typing import Annotated, Literal, NamedTuple, Optional, Union
 
 import msgspec
-from msgspec import Meta, Struct, json
+from msgspec import Meta, Struct, field, json
 
 from ..sources.listing import HOSTS_MOST, Entry, Listing
 from ..wire import names
@@ -26,6 +26,7 @@
 Count = Annotated[float, Meta(ge=0, le=1e7)]
 Milliseconds = Annotated[float, Meta(ge=0, le=1e7)]
 Span = Annotated[float, Meta(gt=0, le=1e7)]
+Number = Annotated[int, Meta(ge=0, le=1 << 31)]
 Name = Annotated[str, Meta(min_length=1, max_length=255)]
 Report = dict[str, Optional[Annotated[float, Meta(ge=0, le=1e9)]]]
 
@@ -38,51 +39,71 @@
     """A message with a field that can't be used, its kind among them; those around it are good."""
 
 
-class Hello(Struct, tag="hello", tag_field="msg"):
-    """A proxy's stream begins: its number, zone, usual reqs a second; `cold`: it holds no ordered table."""
-    node: Annotated[int, Meta(ge=0, le=1 << 31)]
-    locality: Name
-    w: Annotated[float, Meta(ge=0, le=1e9)] = 0.0
-    cold: bool = True
+class ProxyHere(Struct, tag="hello", tag_field="msg"):
+    """A proxy's stream begins. `rate`: its usual reqs a second; `standing_only`: it holds no ordered table."""
+    proxy: Number = field(name="node")
+    zone: Name = field(name="locality")
+    rate: Annotated[float, Meta(ge=0, le=1e9)] = field(name="w", default=0.0)
+    standing_only: bool = field(name="cold", default=True)
 
 
-class Agent(Struct, tag="agent", tag_field="msg"):
-    """A collector's connection begins: its zone."""
-    locality: Name
+class CollectorHere(Struct, tag="agent", tag_field="msg"):
+    """A collector's connection begins."""
+    zone: Name = field(name="locality")
 
 
-class Outcomes(Struct, tag="outcomes", tag_field="msg"):
-    """What the proxies of a zone met at a host."""
-    locality: Name
-    endpoint: Name
-    total: Count
-    errors: Count
+class HostMet(Struct, tag="outcomes", tag_field="msg"):
+    """What the proxies of a zone met at a host. `span`, `mean_time` of the good ones: seconds."""
+    zone: Name = field(name="locality")
+    host: Name = field(name="endpoint")
+    tries: Count = field(name="total")
+    bad: Count = field(name="errors")
     interval: Span
     rtt: Milliseconds = 0.0
     metrics: Optional[Report] = None
 
+    @property
+    def span(self):
+        return self.interval / 1000
 
-class Demand(Struct, tag="demand", tag_field="msg"):
-    """Reqs of one kind that came to a proxy."""
-    node: Annotated[int, Meta(ge=0, le=1 << 31)]
-    route: Name
-    total: Count
+    @property
+    def mean_time(self):
+        return self.rtt / 1000
+
+    @property
+    def report(self):
+        return our_report(self.metrics)
+
+
+class ReqsMet(Struct, tag="demand", tag_field="msg"):
+    """Reqs of one kind that came to a proxy, over `span` seconds."""
+    proxy: Number = field(name="node")
+    kind: Name = field(name="route")
+    tries: Count = field(name="total")
     interval: Span
-    errors: Count = 0.0
+    bad: Count = field(name="errors", default=0.0)
 
+    @property
+    def span(self):
+        return self.interval / 1000
 
-class Ack(Struct, tag="ack", tag_field="msg"):
-    """A proxy has applied all up to a mark."""
-    node: Annotated[int, Meta(ge=0, le=1 << 31)]
-    nonce: Annotated[int, Meta(ge=0, le=1 << 32)]
+
+class MarkMet(Struct, tag="ack", tag_field="msg"):
+    """A proxy has applied all up to a mark, `took` seconds after the order."""
+    proxy: Number = field(name="node")
+    mark: Annotated[int, Meta(ge=0, le=1 << 32)] = field(name="nonce")
     latency: Milliseconds
 
+    @property
+    def took(self):
+        return self.latency / 1000
+
 
-class Question(Struct, tag="probe", tag_field="msg"):
+class LifeAsked(Struct, tag="probe", tag_field="msg"):
     """Anyone asks for a sign of life."""
 
 
-Heard = Union[Hello, Agent, Outcomes, Demand, Ack, Question]
+Heard = Union[ProxyHere, CollectorHere, HostMet, ReqsMet, MarkMet, LifeAsked]
 LINE = json.Decoder(Heard)
 ENCODER = json.Encoder()
 ALIVE = b'{"msg":"alive"}\n'
@@ -96,7 +117,7 @@
         raise (Spoilt if is_object(data) else Unreadable)(str(problem)) from None
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as problem:
         raise Unreadable(str(problem)) from None
-    if type(found) in (Outcomes, Demand) and found.errors > found.total:
+    if type(found) in (HostMet, ReqsMet) and found.bad > found.tries:
         raise Spoilt("expected at most as many errors as there were tries")
     return found
 
--- a/peatlead/platform/node.py
+++ b/peatlead/platform/node.py
@@ -16,7 +16,7 @@
 from .configuration import NEEDED, BadConfiguration, read_configuration
 from .discovery import Watch
 from .front import Front
-from .messages import Ack, Demand, Table, our_report, read_report, write_message
+from .messages import HostMet, MarkMet, ReqsMet, Table, read_report, write_message
 
 PROBES_AT_ONCE, PROBES_WAITING, PROBE_PATH = 24, 1000, "/status/load"
 FIRST_LIST = 1.0  # seconds that the first answer to a probe waits for discovery's list, where an old one is known
@@ -130,15 +130,15 @@
 
     # What the front asks and tells.
 
-    def accept(self, caller, hello):
-        same = caller.proxy is None or caller.proxy == hello.node
-        if not same or hello.node >= self.facts["proxies"] or hello.locality not in self.door.zones:
+    def accept(self, caller, here):
+        same = caller.proxy is None or caller.proxy == here.proxy
+        if not same or here.proxy >= self.facts["proxies"] or here.zone not in self.door.zones:
             return None
-        caller.zone, caller.rate, caller.cold = self.door.zones[hello.locality], hello.w, hello.cold
-        return hello.node
+        caller.zone, caller.rate, caller.standing_only = self.door.zones[here.zone], here.rate, here.standing_only
+        return here.proxy
 
-    def collects(self, agent):
-        return agent.locality in self.door.zones
+    def collects(self, here):
+        return here.zone in self.door.zones
 
     def joined(self, caller):
         """A new stream may come before the old one is seen to end."""
@@ -149,7 +149,7 @@
         self.streams[caller.proxy] = caller
         caller.shut = set(self.changed)
         self.publisher.join(caller.proxy, levelled=True)
-        self.hear(our.ProxyJoined(caller.proxy, caller.zone, caller.rate, caller.cold))
+        self.hear(our.ProxyJoined(caller.proxy, caller.zone, caller.rate, caller.standing_only))
 
     def left(self, caller):
         if self.streams.get(caller.proxy) is caller:
@@ -159,79 +159,80 @@
 
     def said(self, caller, message):
         """A report or a mark's answer; one that names what is not there is passed over."""
-        kind = type(message)
-        if kind is Demand:
-            at = self.kind_at.get(message.route)
-            if at is None or message.node >= self.facts["proxies"] or caller.proxy not in (None, message.node):
-                self.front.count("names nothing")
-                return
-            self.hear(our.ReqSums(message.node, at, int(message.total), int(message.errors), message.interval / 1000))
-        elif kind is Ack:
-            if message.node != caller.proxy:
-                self.front.count("names nothing")
-                return
-            self.hear(our.Applied(message.node, message.nonce, message.latency / 1000))
+        event = READ[type(message)](self, caller, message)
+        if event is None:
+            self.front.count("names nothing")
         else:
-            host, zone = self.door.index.get(message.endpoint), self.door.zones.get(message.locality)
-            if host is None or zone is None:
-                self.front.count("names nothing")
-                return
-            self.hear(our.HostSums(host, zone, int(message.total), int(message.errors), message.interval / 1000,
-                                   message.rtt / 1000, our_report(message.metrics)))
+            self.hear(event)
+
+    def host_sums(self, _, met):
+        host, zone = self.door.index.get(met.host), self.door.zones.get(met.zone)
+        if host is not None and zone is not None:
+            return our.HostSums(host, zone, int(met.tries), int(met.bad), met.span, met.mean_time, met.report)
+
+    def req_sums(self, caller, met):
+        """Any collector may tell of any proxy, a proxy of itself."""
+        kind = self.kind_at.get(met.kind)
+        if kind is not None and met.proxy < self.facts["proxies"] and caller.proxy in (None, met.proxy):
+            return our.ReqSums(met.proxy, kind, int(met.tries), int(met.bad), met.span)
+
+    def applied(self, caller, met):
+        if met.proxy == caller.proxy:
+            return our.Applied(met.proxy, met.mark, met.took)
 
     # Orders.
 
     def offer(self, now, orders, messages, marks):
-        for proxy in messages:
+        for proxy, ops in messages.items():
             caller = self.streams.get(proxy)
             if caller is not None:
-                data = self.write(caller, messages[proxy], marks.get(proxy, ()))
+                shut, opened = self.turned(caller, ops)
+                mark = marks[proxy][-1] if proxy in marks else None
+                data = write_message(self.tables(proxy, ops), shut, opened, mark)
                 if data:
                     caller.send(data)
 
-    def write(self, caller, ops, marks):
-        """The bytes of one message. Lines of tables that it is bound to now are whole; the levels that a whole table
-        makes it forget go with it."""
-        bound, names = self.publisher.bound.get(caller.proxy, {}), self.door.entries
-        whole = {value for op, value in ops.items() if op[0] == "bind"}
-        lines, levels = {table: [] for table in whole}, {}
+    def turned(self, caller, ops):
+        """Names of hosts that the proxy must shut out from now on, and of those that it must let in: a line that
+        names one it may still shut out would bring nothing."""
         shut, opened = [], []
         for op, value in ops.items():
-            if op[0] == "line":
-                if value or op[1] not in whole:
-                    lines.setdefault(op[1], []).append((names[op[2]].name, value))
-                if value and op[2] in caller.shut:
-                    caller.shut.discard(op[2])
-                    opened.append(names[op[2]].name)
-            elif op[0] == "level":
-                levels[op[1]] = value
-            elif op[0] == "withdrawn":
-                if value:
-                    caller.shut.add(op[1])
-                    shut.append(names[op[1]].name)
-                elif op[1] in caller.shut:
-                    caller.shut.discard(op[1])
-                    opened.append(names[op[1]].name)
-        for kind, table in bound.items():
-            if table in whole and kind in self.publisher.levels:
-                levels[kind] = self.publisher.levels[kind]
-        tables = []
-        for table, found in lines.items():
-            kinds = tuple(sorted(kind for kind, at in bound.items() if at == table))
-            if kinds:
-                tables.append(Table(self.names_of(kinds), table in whole, found, None))
-        by_level = {}
+            host = op[1] if op[0] == "withdrawn" else op[2] if op[0] == "line" and value else None
+            if op[0] == "withdrawn" and value:
+                caller.shut.add(host)
+                shut.append(self.door.entries[host].name)
+            elif host in caller.shut:
+                caller.shut.discard(host)
+                opened.append(self.door.entries[host].name)
+        return shut, opened
+
+    def tables(self, proxy, ops):
+        """[Table] of a message's lines and levels. Lines of tables that it is bound to now are whole; the levels that
+        a whole table makes it forget go with it."""
+        bound, levels = self.publisher.bound.get(proxy, {}), {op[1]: v for op, v in ops.items() if op[0] == "level"}
+        whole = {table for op, table in ops.items() if op[0] == "bind"}
+        levels.update((kind, self.publisher.levels[kind]) for kind, table in bound.items()
+                      if table in whole and kind in self.publisher.levels)
+        lines, users, alike = {table: [] for table in sorted(whole)}, {}, {}
+        for op, value in ops.items():
+            if op[0] == "line" and (value or op[1] not in whole):
+                lines.setdefault(op[1], []).append((self.door.entries[op[2]].name, value))
+        for kind, table in sorted(bound.items()):
+            users.setdefault(table, []).append(kind)
         for kind, level in sorted(levels.items()):
-            by_level.setdefault(level, []).append(kind)
-        for level, kinds in by_level.items():
-            tables.append(Table(self.names_of(kinds), False, [], level))
-        return write_message(tables, shut, opened, marks[-1] if marks else None)
+            alike.setdefault(level, []).append(kind)
+        return [Table(self.names_of(users[table]), table in whole, found, None)
+                for table, found in lines.items() if table in users] + [
+                    Table(self.names_of(kinds), False, [], level) for level, kinds in alike.items()]
 
     def names_of(self, kinds):
         """None, for all of them, is shorter."""
         return None if len(kinds) == len(self.kinds) else tuple(self.kinds[at] for at in kinds)
 
 
+READ = {HostMet: Node.host_sums, ReqsMet: Node.req_sums, MarkMet: Node.applied}
+
+
 def read_answer(answer):
     """(outcome, load report or None, None) of an answer to a probe."""
     return OUTCOMES.get(answer.status, "errored"), read_report(answer.body), None
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,6 +15,7 @@
 from peatlead.platform.configuration import BadConfiguration, read_configuration
 from peatlead.platform.messages import Spoilt, Table, Unreadable, read_line, read_list, write_message
 
+from .helpers import FACTS
 from .places import until
 from .platforms import instance, play
 
@@ -88,6 +89,17 @@
         self.assertNotIn("restore", {key for part in (first, *rest) for key in part})
         self.assertEqual([part["admit"] for part in (first, *rest) if "admit" in part], [1.0])
 
+    def test_kinds_that_stay_at_home_have_a_table_of_their_own(self):
+        async def case(place):
+            proxy = await place.proxy()
+            await until(lambda: sum(part.get("full", False) for part in proxy.got) == 2)
+            return [part for part in proxy.got if part.get("full")]
+        kinds = [{**kind, "own_zone": kind["name"] == "pay"} for kind in FACTS["req_kinds"]]
+        got = play(case, req_kinds=kinds)
+        named = {tuple(part["routes"]): {name for name, _ in part["endpoints"]} for part in got}
+        self.assertEqual((set(named), named["pay",]), ({("read",), ("pay",)}, {"s-0", "s-2"}))
+        self.assertTrue(named["read",] & {"s-1", "s-3"})
+
     def test_a_drain_is_an_eject_and_a_removal_and_its_return_lets_it_in(self):
         async def case(place):
             proxy = await place.proxy()
