The channel is counted by answered marks: a slow one held more lines than it may

Ruled out: lines that were not booked (restore lines add a fifth, 573 of 3,352), levels, tables written twice. Change: each batch's messages carry a mark; what no answer covers waits (indexes.Waiting, in order, one answer covers all before); withdrawals are told once a stream (Publisher.shut) and again only where that fits; lines that let a host in are booked. A host listed for the first time has been shut out by nobody. Two tests set the planner's count of its queue; the count moved to Waiting.paced, the assertions are as they were.

--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -7,7 +7,7 @@
 The ordinary path is the design's: each proxy's table is its hashed, zone-spread shard (docs/design.md).
 
 Beside the design stand these mechanisms:
- 1. channel   what waits and what each proxy was written is counted; what can be put off waits for room
+ 1. channel   what waits (by pace, by answered marks) and what each was written is counted; some can wait
  2. zones     shard sizes fill all zones alike with least crossing; a zone behind a bad way is left
  3. cold      a started host's planned load stays under a part of what pushes it over
  4. admission no try that could take effect twice; less of what earns least when the fleet has no room
@@ -21,7 +21,7 @@
 from random import Random
 
 from . import interface as our
-from .indexes import Due, Holders, Ranks, by_name, host_word, proxy_key, rank
+from .indexes import Due, Holders, Ranks, Waiting, by_name, host_word, middle, middle_of, proxy_key, rank
 
 COVERAGE, LEAST_A_ZONE = 25.0, 1  # shards of this steward's proxies that each host should sit in; hosts
 FIRST_SHARE, STEP, GROW_WAIT = 0.25, 0.25, 10 / 3  # of the weight, at a start; each step, and its seconds
@@ -32,6 +32,7 @@
 PLAN_EVERY, PLAN_SLACK = 2.0, 0.15  # seconds; the part of a zone's plan that must change to move a size
 STAGES, STAGE_GAP = 10, 0.2  # deltas reach this fraction of the proxies at a time; mean seconds between
 AT_ONCE, SOON, MORE = 100, 0.01, 1  # tables in a batch, or removals would wait; until the next; its timer
+SLOWEST, RESTATE_FEW, RESTATE_MOST = 8, 0.02, 0.5  # times half the told pace; of the queue: restated always, in all
 TICK, ROUND_WAIT, FADE = 0.1, 0.2, 0.25  # seconds; until a round's sums are in; what is left of older ones
 PROBE_EVERY, PROBE_AGAIN, PROBES_MOST = 1.0, 0.3, 300  # seconds; after a failure; a second, else less often
 ROUNDS_HEARD, SUMS_LATE = 3, 1.0  # until a steward that starts acts; seconds that sums are late, about
@@ -43,20 +44,6 @@
 COLD_STEPS = (0.06, 0.12, 0.18, 0.25, 0.37, 0.5, 0.75, 1.0)
 
 
-def middle(values):
-    return sorted(values)[len(values) // 2] if values else 0.0  # a few bad hosts do not move it
-
-
-def middle_of(counted):
-    """The same of values that count so many times each."""
-    left = sum(many for _, many in counted) // 2
-    for value, many in sorted(counted):
-        left -= many
-        if left < 0:
-            return value
-    return 0.0
-
-
 def parts(hosts):
     """What the cold ones weigh, and the warm."""
     return [fsum(h.weight * h.share for h in hosts if (h.cold_from is None) == warm) for warm in (0, 1)]
@@ -81,6 +68,7 @@
         self.reach, self.spared = 1.0, frozenset()  # part of the reqs that may come; proxies that do without
         self.regain_at, self.regain_wait, self.strained_at, self.returned_at = 0.0, FIRST_REGAIN, -1e9, -1e9
         self.withdrawn, self.strikes, self.out_until, self.out_by_probe = False, 0, None, False
+        self.shut_once = False  # proxies may still shut it out on an earlier word
         self.probe_at, self.probe_fails, self.probe_passes, self.probes_bad = 0.0, 0, 0, 0.0
         self.clear_evidence(now)
 
@@ -129,7 +117,10 @@
         self.holders = max(1.0, settings.get("proxies", 1) / max(1, settings.get("stewards", 1)))
         self.full = SPREAD_FULL if self.holders > COVERAGE else FULL
         self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else float("inf")
-        self.queue = self.queue_at = self.stage_at = self.restate_at = self.rounds = 0
+        self.stage_at = self.restate_at = self.rounds = 0
+        # On some days the channel is slower than told: half its pace is what is counted on.
+        pace, most = settings.get("channel_rate", 1.0) / 2, settings.get("queue_most", 0.0)
+        self.waiting = Waiting(pace, settings.get("message_head", 0.0), SLOWEST * most / pace)
         self.round_at, self.dirty, self.reqs = float("inf"), set(), [1.0] * len(settings["req_kinds"])
         self.room, self.edge, self.strain_heard, self.level_at, self.levels = 1.0, 1.0, 0.0, 0.0, None
         self.cutting = self.stormy = self.tight = self.sunk = self.lost = self.listed = self.spoiled = False
@@ -139,11 +130,12 @@
         self.handlers = {
             our.Roster: self.on_roster, our.ProxyJoined: self.on_joined, our.ProxyLeft: self.on_left,
             our.HostSums: self.on_host_sums, our.ProbeResult: self.on_probe, our.TimerFired: self.on_timer,
-            our.ReqSums: self.on_req_sums, our.PeerNote: self.on_peer_note}
+            our.ReqSums: self.on_req_sums, our.PeerNote: self.on_peer_note,
+            our.Applied: lambda event: self.waiting.answered(event.mark)}
 
     def decide(self, now, events):
         self.now, self.orders = now, []
-        self.drain_queue()
+        self.waiting.advance(now)
         if self.levels is None:
             self.orders.append(our.SetTimer(0, TICK))
             self.order_levels()
@@ -154,6 +146,8 @@
         self.bind_waiting()
         self.remove_lost()
         self.publish_stage()
+        if mark := self.waiting.end_batch():
+            self.orders.append(our.Mark(mark, False))
         self.warm = {}
         return self.orders
 
@@ -289,14 +283,14 @@
                     self.set_line(proxy, group, host, goal.get(host, 0.0))
 
     def set_line(self, proxy, group, host, weight):
-        if proxy.lines[group].pop(host, None):
+        if old := proxy.lines[group].pop(host, None):
             self.held.take(host, proxy.number)
         if weight:
             proxy.lines[group][host] = weight
             self.held.put(host, proxy.number)
         self.orders.append(our.SetLine(proxy.first_table + group, host, weight))
-        if proxy.bound:
-            self.book(proxy, 1)
+        if proxy.bound:  # what it may shut out is let in with its first line
+            self.book(proxy, 1 + (self.hosts[host].shut_once and weight > 0 and not old))
 
     def bind_waiting(self):
         """Whole tables of all proxies at once would pass what may wait in the channel. First come those whose
@@ -313,17 +307,21 @@
             del self.unbound[proxy.number]
             for group, (_, kinds) in enumerate(self.group_open):
                 self.orders.append(our.BindTable(proxy.number, proxy.first_table + group, tuple(kinds)))
-                self.book(proxy, 1 + len(proxy.lines[group]) + len(self.facts["req_kinds"]))
+                self.book(proxy, 1 + len(proxy.lines[group]) + len(self.facts["req_kinds"])
+                          + sum(self.hosts[h].shut_once for h in proxy.lines[group]))
         if len(due) > AT_ONCE and self.has_room():
             self.orders.append(our.SetTimer(MORE, SOON))
         # What a waiting proxy brought may name hosts that went while it was away: withdrawals are told again.
         untold = [p for p in unbound if not (p.bound or p.told) and self.now >= self.restate_at]
-        for proxy in untold:
-            proxy.told = True
-            self.book(proxy, self.facts.get("standing", 0))
-        if untold:
+        shut = [h.id for h in self.hosts.values() if h.withdrawn]
+        # A few always find room; so many that they would fill the queue only hold up the tables to come.
+        most, lines = self.facts["queue_most"], len(untold) * len(shut)
+        if untold and lines < max(RESTATE_FEW * most, RESTATE_MOST * most - self.waiting.lines):
+            for proxy in untold:
+                proxy.told = True
+                self.book(proxy, len(shut))
             self.restate_at = self.now + self.facts["drain_grace"] / 4
-            self.orders += [our.Withdraw(h.id, True) for h in self.hosts.values() if h.withdrawn]
+            self.orders += [our.Withdraw(host, True) for host in shut]
 
     def remove_lost(self):
         """Hosts that drain, went or were dropped leave every table at once: their reqs are lost reqs."""
@@ -430,7 +428,7 @@
                 and min(self.now, self.news_at) - host.good_at < 2 * (self.cycle + self.facts["sums_every"]))
 
     def withdraw(self, host, on):
-        host.withdrawn, host.withdrawn_at = on, self.now
+        host.withdrawn, host.withdrawn_at, host.shut_once = on, self.now, True
         self.orders.append(our.Withdraw(host.id, on))
         told = {**self.held.of(host.id), **self.unbound} if on else host.told_shut
         host.told_shut = told if on else {}
@@ -745,7 +743,7 @@
                             if not self.levels or new != self.levels[at]]
             self.levels = wanted
             for proxy in self.joined:
-                self.book(proxy, 1)
+                self.book(proxy, len(work))
 
     def on_timer(self, event):
         if event.token == MORE:
@@ -767,16 +765,10 @@
         return self.has_room(0.25) and (not most or len(proxy.sent) < most * part)
 
     def has_room(self, part=0.4):
-        return self.queue < part * self.facts["queue_most"]
-
-    def drain_queue(self):
-        """On some days the channel is slower than told: half its pace is what is counted on."""
-        spent, self.queue_at = (self.now - self.queue_at) * self.facts["channel_rate"] / 2, self.now
-        self.queue = max(0.0, self.queue - spent)
+        return self.waiting.lines < part * self.facts["queue_most"]
 
     def book(self, proxy, lines):
         """One batch makes one message a proxy: its head counts once."""
-        if not proxy.sent or proxy.sent[-1] < self.now:
+        if new := not proxy.sent or proxy.sent[-1] < self.now:
             proxy.sent.append(self.now)
-            self.queue += self.facts["message_head"]
-        self.queue += lines
+        self.waiting.add(lines, new)
--- a/peatlead/measure/scale.py
+++ b/peatlead/measure/scale.py
@@ -116,16 +116,20 @@
         self.publisher, self.channel = Publisher(), Channel(channel, FACTS["message_head"], channel)
         self.states, self.rate, self.sent, self.lines, self.most_sent, self.bare = {}, rate, {}, 0, 0, 0
         self.longest = self.spent = self.cold_worst = 0.0
+        self.answers = []
         super().__init__(module, hosts, proxies)
         self.planner.facts.update(channel_rate=channel, queue_most=channel)
+        self.planner.waiting.pace = channel / 2
 
     def decide(self, events):
-        spent, orders = super().decide(events)
+        spent, orders = super().decide([*events, *self.answers])
+        self.answers = []
         self.spent, self.longest = self.spent + spent, max(self.longest, spent)
-        messages, _, _ = self.publisher.take(orders)
+        messages, marks, _ = self.publisher.take(orders)
         for proxy in sorted(messages):
-            self.channel.offer(self.now, proxy, messages[proxy])
+            self.channel.offer(self.now, proxy, messages[proxy], marks.get(proxy, ()))
         for proxy, message in self.channel.due(self.now):
+            self.answers += [our.Applied(proxy, mark, self.now - message.offered) for mark in message.marks]
             times = self.sent.setdefault(proxy, deque())
             times.append(self.now)
             while self.now - times[0] > FACTS["messages_span"]:
--- a/peatlead/platform/node.py
+++ b/peatlead/platform/node.py
@@ -20,6 +20,7 @@
 
 PROBES_AT_ONCE, PROBES_WAITING, PROBE_PATH = 24, 1000, "/status/load"
 FIRST_LIST = 1.0  # seconds that the first answer to a probe waits for discovery's list, where an old one is known
+GONE_MOST = 20_000  # names of hosts that went, remembered in case one comes back
 SWEEP = 5.0  # seconds between looks for hosts that the planner has forgotten
 OUTCOMES = {200: "ok", 503: "errored"}
 
@@ -41,7 +42,8 @@
             "path": PROBE_PATH, "deadline": self.facts.get("connect_timeout", 0.25), "at_once": PROBES_AT_ONCE,
             "waiting_most": PROBES_WAITING}, self.on_probe, read_answer)
         self.carriers[our.Probe] = self.send_probe
-        self.streams, self.ready, self.changed = {}, False, set()  # changed: hosts that were ever not as they are
+        self.streams, self.ready = {}, False
+        self.changed, self.gone = set(), {}  # hosts that were ever not as they are; names that were forgotten
 
     def wall(self):
         return self.loop.time() + self.ahead
@@ -91,13 +93,16 @@
     def on_listing(self, listing):
         now = self.loop.time()
         before = {entry.name: self.phase_of(entry.name) for entry in listing.hosts}
-        roster = self.door.roster(listing, now)
+        first, roster = not self.door.listed, self.door.roster(listing, now)
         if listing.scope != "changes":
             listed = {member.host for member in roster.members}
             self.changed.update(at for at in self.door.entries if at not in listed)
         for entry in listing.hosts:
-            at = self.door.index.get(entry.name)
-            if at is not None and (entry.started or {before[entry.name], entry.phase} - {None, "ready"}):
+            at, old = self.door.index.get(entry.name), before[entry.name]
+            # Nobody shuts out what is listed for the first time; news of a host may sum up several.
+            again = first or old is not None or entry.name in self.gone
+            if at is not None and again and (entry.started or listing.scope == "changes"
+                                             or {old, entry.phase} - {None, "ready"}):
                 self.changed.add(at)
         self.log("list", scope=listing.scope, version=listing.version, hosts=len(listing.hosts),
                  ready=sum(one.phase == "ready" for one in listing.hosts))
@@ -113,11 +118,15 @@
         """The planner has forgotten hosts that went; so do we, or names of successors would add up."""
         self.loop.call_later(SWEEP, self.sweep)
         for at in [at for at in self.door.entries if at not in self.planner.hosts and not self.inbox]:
+            self.gone.pop(name := self.door.entries[at].name, None)
+            self.gone[name] = True
             self.door.forget(at)
             self.publisher.forget(at)
             self.changed.discard(at)
             for caller in self.streams.values():
-                caller.shut.discard(at)
+                caller.opened.discard(at)
+        while len(self.gone) > GONE_MOST:
+            del self.gone[next(iter(self.gone))]
 
     # Probes.
 
@@ -147,7 +156,7 @@
             self.left(old)
             old.cut("joined anew")
         self.streams[caller.proxy] = caller
-        caller.shut = set(self.changed)
+        caller.opened = set()  # hosts that it was told of on this stream and shuts out no longer
         self.publisher.join(caller.proxy, levelled=True)
         self.hear(our.ProxyJoined(caller.proxy, caller.zone, caller.rate, caller.standing_only))
 
@@ -162,6 +171,8 @@
         event = READ[type(message)](self, caller, message)
         if event is None:
             self.front.count("names nothing")
+        elif type(event) is our.Applied:
+            self.note(event)  # one for each message that was written: a batch for each would be most of the work
         else:
             self.hear(event)
 
@@ -199,11 +210,12 @@
         for op, value in ops.items():
             host = op[1] if op[0] == "withdrawn" else op[2] if op[0] == "line" and value else None
             if op[0] == "withdrawn" and value:
-                caller.shut.add(host)
                 shut.append(self.door.entries[host].name)
-            elif host in caller.shut:
-                caller.shut.discard(host)
-                opened.append(self.door.entries[host].name)
+                caller.opened.discard(host)
+            elif host is not None and host not in caller.opened:
+                if op[0] == "withdrawn" or host in self.changed:
+                    opened.append(self.door.entries[host].name)
+                caller.opened.add(host)
         return shut, opened
 
     def tables(self, proxy, ops):
--- a/peatlead/steward/channel.py
+++ b/peatlead/steward/channel.py
@@ -56,7 +56,7 @@
         lane, other = (self.urgent, self.calm) if taken_away(message.ops) else (self.calm, self.urgent)
         other.pop(view, None)
         lane.setdefault(view, True)
-        message.marks.extend(marks)
+        message.marks = list(marks) or message.marks  # the newest tells of all before it
         if len(message.causes) < CAUSES_MOST:
             message.causes.update(dict.fromkeys(causes))
         self.waiting += len(message.ops) - before
@@ -105,11 +105,13 @@
         self.holders, self.changed = {}, 0  # host -> {table: weight}; counts all changes of tables
         self.told, self.unbound = {}, set()  # host -> views that were told it is shut out; views on no table of ours
         self.levelled, self.levels = set(), {}  # those that follow levels themselves; kind: (level, retry)
+        self.shut = {}  # view -> hosts that it was told are shut out since it joined: those are not told again
 
     def join(self, view, levelled=False):
         """`levelled`: a proxy that enforces levels and second tries; what a DNS view can't, hosts do."""
         self.joined.add(view)
         self.unbound.add(view)
+        self.shut[view] = set()
         if levelled:
             self.levelled.add(view)
 
@@ -117,13 +119,15 @@
         self.joined.discard(view)
         self.levelled.discard(view)
         self.unbound.discard(view)
+        self.shut.pop(view, None)
         for table in self.bound.pop(view, {}).values():
             self.users[table].discard(view)
 
     def forget(self, host):
         """It is gone and no table names it."""
         self.holders.pop(host, None)
-        self.told.pop(host, None)
+        for view in self.told.pop(host, ()):
+            self.shut.get(view, set()).discard(host)
 
     def take(self, orders):
         """({view: {op: value}}, {view: [mark]}, the orders that are not for views)."""
@@ -156,12 +160,18 @@
         let in again goes to those that were told it was not: to all, a release of 300 hosts made 200,000 lines
         wait."""
         if not order.on:
-            return self.told.pop(order.host, set()) & self.joined
+            back = self.told.pop(order.host, set()) & self.joined
+            for view in back:
+                self.shut[view].discard(order.host)
+            return back
         holding = self.unbound | (self.joined - self.levelled)
         for table in self.holders.get(order.host, ()):
             holding |= self.users.get(table, set())
         self.told.setdefault(order.host, set()).update(holding)
-        return holding & self.joined
+        news = {view for view in holding & self.joined if order.host not in self.shut[view]}
+        for view in news:
+            self.shut[view].add(order.host)
+        return news
 
     def admit(self, out, order):
         for at in order.kinds:
--- a/peatlead/steward/core.py
+++ b/peatlead/steward/core.py
@@ -42,6 +42,10 @@
 
     # The loop.
 
+    def note(self, event):
+        """It is early enough in the next batch, whenever that is."""
+        self.inbox.append(event)
+
     def hear(self, event):
         self.inbox.append(event)
         if not self.step_due:
--- a/peatlead/steward/steward.py
+++ b/peatlead/steward/steward.py
@@ -223,7 +223,7 @@
             self.pump_due = None
         for number, message in self.channel.due(now, PUMP_MOST):
             for mark in message.marks:
-                self.hear(our.Applied(number, mark, now - message.offered))
+                self.note(our.Applied(number, mark, now - message.offered))
             self.story.left(number)
             view = self.views.by_number.get(number)
             if view is None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,6 +1,7 @@
 import unittest
 
 from peatlead import interface as our
+from peatlead.steward.channel import Publisher
 
 from .helpers import member, of_type, planner
 
@@ -202,7 +203,7 @@
         made = planner()
         proxy = made.proxies[0]
         proxy.lines[0], made.lost, made.orders = {0: 1.0}, True, []
-        made.hosts[0].phase, made.queue, made.queue_at = "gone", made.facts["queue_most"], made.now
+        made.hosts[0].phase, made.waiting.paced = "gone", made.facts["queue_most"]
         made.remove_lost()
         self.assertTrue(proxy.lines[0])
 
@@ -228,11 +229,42 @@
     def test_binds_wait_for_room_and_a_waiting_proxy_is_told_withdrawals_again(self):
         made = planner()
         made.decide(101.0, [our.Roster("changes", 2, (member(3, 1, "draining"),))])
-        made.queue = made.queue_at = made.facts["queue_most"]
-        orders = made.decide(made.queue_at, [our.ProxyJoined(9, 0, 10.0, True)])
+        made.waiting.paced = made.facts["queue_most"]
+        orders = made.decide(101.0, [our.ProxyJoined(9, 0, 10.0, True)])
         self.assertFalse(of_type(orders, our.BindTable))
         self.assertIn(our.Withdraw(3, True), orders)
 
+    def test_a_channel_far_slower_than_told_never_holds_more_than_it_may(self):
+        # At an eighth of its pace, 8,619 lines waited where 8,600 may: half the pace was all that was counted on.
+        made = planner(hosts=60, proxies=0, channel_rate=2000.0, queue_most=3000.0)
+        made.facts["proxies"], publisher, channel = 90, Publisher(), []  # [proxy, lines that are left, marks]
+        events, free, most, bound = [], 0.0, 0.0, set()
+        for tick in range(600):
+            now = 101.0 + tick / 10
+            if tick < 90:
+                publisher.join(tick, levelled=True)
+                events.append(our.ProxyJoined(tick, tick % 2, 10.0, False))
+            if tick % 100 == 50:
+                host = tick // 100
+                events.append(our.Roster("changes", tick, (member(host, host % 2, "draining"),)))
+            messages, marks, _ = publisher.take(made.decide(now, [our.TimerFired(0), *events]))
+            channel += [[proxy, 6 + len(ops), marks.get(proxy, ())] for proxy, ops in messages.items()]
+            bound.update(proxy for proxy, ops in messages.items() if any(op[0] == "bind" for op in ops))
+            most, events, free = max(most, sum(one[1] for one in channel)), [], free + 2000.0 / 8 / 10
+            while channel and free >= channel[0][1]:
+                proxy, lines, told = channel.pop(0)
+                free -= lines
+                events += [our.Applied(proxy, mark, 0.1) for mark in told]
+            free = free if channel else 0.0
+        self.assertLess(most, 3000.0)
+        self.assertGreater(len(bound), 60)  # and goes on binding, as far as the channel carries it
+
+    def test_so_many_withdrawals_as_would_fill_the_queue_are_not_told_again(self):
+        made = planner(hosts=80, channel_rate=100.0, queue_most=400.0)
+        made.decide(101.0, [our.Roster("changes", 2, tuple(member(h, h % 2, "draining") for h in range(60)))])
+        orders = made.decide(101.1, [our.ProxyJoined(9, 0, 10.0, False)])
+        self.assertFalse(of_type(orders, our.Withdraw))
+
     def test_events_that_name_what_is_not_known_are_taken_in_and_put_nothing_on_a_table(self):
         made = planner()
         orders = made.decide(101.0, [
--- a/tests/test_indexes.py
+++ b/tests/test_indexes.py
@@ -9,7 +9,7 @@
 from peatlead import choice
 from peatlead import interface as our
 from peatlead.choice import Planner
-from peatlead.indexes import Due, Holders, Ranks, host_word, proxy_key, rank
+from peatlead.indexes import Due, Holders, Ranks, Waiting, host_word, proxy_key, rank
 from peatlead.measure.scale import Paced
 
 from .helpers import FACTS, member, of_type, planner
@@ -250,3 +250,50 @@
         warm = [host for host in lines if made.hosts[host].cold_from is None]
         self.assertTrue(0 < len(warm) <= choice.WARM_MOST)
         self.assertTrue(proxy.wide and cold <= 0.5 * sum(lines.values()))
+
+
+class WaitingLines(unittest.TestCase):
+    def written(self, *batches):
+        made = Waiting(100.0, 6, 10.0)
+        for at, lines in batches:
+            made.advance(float(at))
+            made.add(lines, True)
+            made.add(lines, True)
+            self.assertEqual(made.end_batch(), at)
+        return made
+
+    def test_what_no_answer_covers_waits_however_long_the_pace_says_it_takes(self):
+        made = self.written((1, 50), (2, 50), (3, 50))
+        made.advance(9.0)
+        self.assertEqual((made.paced, made.lines), (0.0, 3 * 2 * 57))
+        made.answered(3)
+        self.assertEqual(made.lines, 57)
+        made.answered(3)
+        self.assertEqual(made.lines, 0.0)
+
+    def test_answers_that_come_late_twice_never_or_of_nothing_do_no_harm(self):
+        made = self.written((1, 50), (2, 50))
+        for mark in (2, 1, 1, 7, 0, 2, 2, 2):
+            made.answered(mark)
+        self.assertEqual(made.unanswered, 0.0)
+        made = self.written((1, 50))
+        made.advance(11.5)
+        self.assertEqual(made.lines, 0.0)
+
+    def test_a_batch_counts_before_it_is_closed_and_one_that_writes_nothing_has_no_mark(self):
+        made = Waiting(100.0, 6, 10.0)
+        self.assertEqual(made.end_batch(), 0)
+        made.add(3, True)
+        made.add(1, False)
+        self.assertEqual(made.lines, 11)
+
+    def test_numbers_of_marks_come_round_again(self):
+        made = Waiting(1e9, 0, 1.0)
+        for at in range(65_536):
+            made.advance(at / 10)
+            made.add(1, True)
+            last = made.end_batch()
+        self.assertEqual(last, 1)
+        self.assertLessEqual(len(made.batches), 11)
+        made.answered(1)
+        self.assertEqual(made.unanswered, 0.0)
