Withdrawals that would fill the queue with waiting proxies leave it to their tables

Four of five stewards were gone since 16.5 s; n4 held up to 1,766 descriptors. Checked: n4's log, {"event":"list","scope":"changes","version":5,"hosts":44,"ready":4} at 19.265, 30 of them draining, while most of 1,700 proxies waited for their tables: 30 withdrawals to each of over a thousand, beside up to 18,000 lines of joining tables (0.4 of the queue). At fault: Planner.withdraw and Publisher.concerned, which told every waiting proxy of every host. Change: where withdrawals for those that wait do not fit (half of the queue, what is there counted), they go to holders alone, and the others get their tables first, or the withdrawals once they fit (Planner.fits, as for those told again). A table is fewer lines. Test: test_a_drain_that_all_waiting_proxies_would_fill_the_queue_with_waits_for_their_tables.

--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -21,7 +21,7 @@
 from random import Random
 
 from . import interface as our
-from .indexes import Due, Holders, Ranks, Waiting, by_name, host_word, middle, middle_of, proxy_key, rank
+from .indexes import Due, Holders, Ranks, Waiting, by_name, host_word, middle, middle_of, parts, proxy_key, rank
 
 COVERAGE, LEAST_A_ZONE = 25.0, 1  # shards of this steward's proxies that each host should sit in; hosts
 FIRST_SHARE, STEP, GROW_WAIT = 0.25, 0.25, 10 / 3  # of the weight, at a start; each step, and its seconds
@@ -32,8 +32,7 @@
 PLAN_EVERY, PLAN_SLACK = 2.0, 0.15  # seconds; the part of a zone's plan that must change to move a size
 STAGES, STAGE_GAP = 10, 0.2  # deltas reach this fraction of the proxies at a time; mean seconds between
 AT_ONCE, SOON, MORE = 100, 0.01, 1  # tables in a batch, or removals would wait; until the next; its timer
-SLOWEST = 8  # times slower than half the told pace
-RESTATE_FEW, RESTATE_MOST = 0.02, 0.5  # of the queue: withdrawals told again at any time; in all
+SLOWEST, RESTATE_FEW, RESTATE_MOST = 8, 0.02, 0.5  # times half the pace; of the queue: restated always; in all
 TICK, ROUND_WAIT, FADE = 0.1, 0.2, 0.25  # seconds; until a round's sums are in; what is left of older ones
 PROBE_EVERY, PROBE_AGAIN, PROBES_MOST = 1.0, 0.3, 300  # seconds; after a failure; a second, else less often
 ROUNDS_HEARD, SUMS_LATE = 3, 1.0  # until a steward that starts acts; seconds that sums are late, about
@@ -45,11 +44,6 @@
 COLD_STEPS = (0.06, 0.12, 0.18, 0.25, 0.37, 0.5, 0.75, 1.0)
 
 
-def parts(hosts):
-    """What the cold ones weigh, and the warm."""
-    return [fsum(h.weight * h.share for h in hosts if (h.cold_from is None) == warm) for warm in (0, 1)]
-
-
 def enough(hosts, weight):
     """The first of them that bring so much, one at least."""
     return [h for n, h in enumerate(hosts) if not n or fsum(o.weight * o.share for o in hosts[:n]) < weight]
@@ -315,15 +309,19 @@
         # What a waiting proxy brought may name hosts that went while it was away: withdrawals are told again.
         untold = [p for p in unbound if not (p.bound or p.told) and self.now >= self.restate_at]
         shut = [h.id for h in self.hosts.values() if h.withdrawn]
-        # A few always find room; so many that they would fill the queue only hold up the tables to come.
-        most, lines = self.facts["queue_most"], len(untold) * len(shut)
-        if untold and lines < max(RESTATE_FEW * most, RESTATE_MOST * most - self.waiting.lines):
+        if untold and self.fits(len(untold) * len(shut)):
             for proxy in untold:
                 proxy.told = True
                 self.book(proxy, len(shut))
             self.restate_at = self.now + self.facts["drain_grace"] / 4
             self.orders += [our.Withdraw(host, True) for host in shut]
 
+    def fits(self, lines):
+        """Of withdrawals for waiting proxies a few do always; so many that they would fill the queue are more than
+        the tables that those wait for, and would only hold them up."""
+        most = self.facts["queue_most"]
+        return lines < max(RESTATE_FEW * most, RESTATE_MOST * most - self.waiting.lines)
+
     def remove_lost(self):
         """Hosts that drain, went or were dropped leave every table at once: their reqs are lost reqs."""
         if not self.lost:
@@ -389,9 +387,12 @@
         self.listed = self.lost = True
         self.probe_every = max(PROBE_EVERY, len(self.hosts) / PROBES_MOST)
         self.pools, self.old_pools = {}, self.pools or self.old_pools
-        for host in self.hosts.values():
-            if (host.phase != "ready") != host.withdrawn:
-                self.withdraw(host, not host.withdrawn)
+        turned = [h for h in self.hosts.values() if (h.phase != "ready") != h.withdrawn]
+        fits = self.fits(sum(not h.withdrawn for h in turned) * len(self.unbound))
+        for proxy in self.unbound.values():
+            proxy.told &= fits
+        for host in turned:
+            self.withdraw(host, not host.withdrawn, self.unbound if fits else {})
         self.forget()
         self.all_dirty()
 
@@ -428,10 +429,10 @@
         return (self.facts.get("gone_is_advice") and host.phase == "ready" and not host.probe_fails
                 and min(self.now, self.news_at) - host.good_at < 2 * (self.cycle + self.facts["sums_every"]))
 
-    def withdraw(self, host, on):
+    def withdraw(self, host, on, waiting):
         host.withdrawn, host.withdrawn_at, host.shut_once = on, self.now, True
-        self.orders.append(our.Withdraw(host.id, on))
-        told = {**self.held.of(host.id), **self.unbound} if on else host.told_shut
+        self.orders.append(our.Withdraw(host.id, on, len(waiting) < len(self.unbound)))
+        told = {**self.held.of(host.id), **waiting} if on else host.told_shut
         host.told_shut = told if on else {}
         for number in told:
             if number in self.here:
--- a/peatlead/indexes.py
+++ b/peatlead/indexes.py
@@ -15,6 +15,7 @@
 from collections import deque
 from functools import lru_cache
 from hashlib import blake2b
+from math import fsum
 
 SALT = b"turf"  # one order of many alike (docs/results/scale.md): days on the bench are compared under the same
 LANE, LOW, SHIFT = 64, 0xFFFFFFFF, 15  # bits of a lane; the part of it that holds a word; of the mixing
@@ -37,6 +38,11 @@
     return 0.0
 
 
+def parts(hosts):
+    """What the cold ones weigh, and the warm."""
+    return [fsum(h.weight * h.share for h in hosts if (h.cold_from is None) == warm) for warm in (0, 1)]
+
+
 def host_word(name):
     """A host's 32 bits, odd, so that a product with it loses none of the other's."""
     return int.from_bytes(blake2b(name, digest_size=4, person=SALT).digest(), "little") | 1
--- a/peatlead/interface.py
+++ b/peatlead/interface.py
@@ -1,4 +1,4 @@
-"""What the planner hears (events) and what it may order. Types only: no logic, no defaults, no tuning.
+"""What the planner hears (events) and what it may order. Types only: no logic, no tuning, and one default.
 
 Times are float seconds on the steward's own clock. `host`, `proxy`, `zone`, `machine`, `cell` and `kind`
 are small whole numbers; `Member.name` is the host's stable name, the same at every steward.
@@ -119,9 +119,11 @@
 
 
 class Withdraw(NamedTuple):
-    """Order: shut a host out of (or let it back into) every table that joined proxies hold."""
+    """Order: shut a host out of (or let it back into) every table that joined proxies hold; `bound_only`: not of what
+    proxies brought that are on no table yet."""
     host: int
     on: bool
+    bound_only: bool = False
 
 
 class Admit(NamedTuple):
--- a/peatlead/steward/channel.py
+++ b/peatlead/steward/channel.py
@@ -164,7 +164,7 @@
             for view in back:
                 self.shut[view].discard(order.host)
             return back
-        holding = self.unbound | (self.joined - self.levelled)
+        holding = (set() if order.bound_only else self.unbound) | (self.joined - self.levelled)
         for table in self.holders.get(order.host, ()):
             holding |= self.users.get(table, set())
         self.told.setdefault(order.host, set()).update(holding)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -265,6 +265,22 @@
         orders = made.decide(101.1, [our.ProxyJoined(9, 0, 10.0, False)])
         self.assertFalse(of_type(orders, our.Withdraw))
 
+    def test_a_drain_that_all_waiting_proxies_would_fill_the_queue_with_waits_for_their_tables(self):
+        # One steward with 1,100 waiting proxies and 30 hosts that drain: 45,011 lines where 45,000 may.
+        made = planner(hosts=60, channel_rate=100.0, queue_most=400.0)
+        made.waiting.paced = 180.0
+        made.decide(101.0, [our.ProxyJoined(n, n % 2, 10.0, False) for n in range(10, 40)])
+        orders = made.decide(101.1, [our.Roster("changes", 2, tuple(member(h, h % 2, "draining") for h in range(9)))])
+        self.assertEqual({order.bound_only for order in of_type(orders, our.Withdraw)}, {True})
+        publisher = Publisher()
+        publisher.join(10, levelled=True)
+        self.assertEqual(publisher.take([our.Withdraw(3, True, True)])[0], {})
+        self.assertEqual(list(publisher.take([our.Withdraw(3, True)])[0]), [10])
+        made.waiting.paced = made.waiting.unanswered = 0.0
+        made.waiting.batches.clear()
+        orders = [order for tick in range(60) for order in made.decide(101.2 + tick / 10, [our.TimerFired(0)])]
+        self.assertTrue(of_type(orders, our.BindTable))
+
     def test_events_that_name_what_is_not_known_are_taken_in_and_put_nothing_on_a_table(self):
         made = planner()
         orders = made.decide(101.0, [
