Endings settle what is owed: exits, reloads, watches, refusals, failed decides

At fault, by function: Node.stop cut all streams with what was heard undecided and what was written unsent; Watch.move dropped the old address before the new one was up; Node.start waited up to a second for discovery though a list was known; Core.step lost a batch's timers for good where one message could not be written, and ended the steward where a decide raised; Caller.refuse left one that does not read joined; collectors that vanished kept their connections; read_list took a spoilt entry's host out of a whole list; changes of a version that went back were taken; Lines read a long line anew with each piece, and joined parties' lines ended at 64 KiB where 1 MiB is allowed; SIGHUP before the loop ran ended the process; settings that the planner divides by were not checked, and a deployment without some rule did not start. Of 256 descriptors 218 connections are kept (192).

--- a/peatlead/net/streams.py
+++ b/peatlead/net/streams.py
@@ -124,14 +124,17 @@
 
     def __init__(self, idle=0.0, longest=1 << 20, waiting_most=1 << 20):
         super().__init__(idle, waiting_most)
-        self.longest, self.part = longest, b""
+        self.longest, self.part = longest, bytearray()  # of a line whose end has not come
 
     def line(self, data):
         pass
 
     def received(self, data):
-        *whole, self.part = (self.part + data).split(b"\n")
-        for one in whole:
-            self.line(one)
+        first, *rest = data.split(b"\n")
+        self.part += first  # what came before it is not read again: a long line may come byte by byte
+        if rest:
+            whole, self.part = [bytes(self.part), *rest[:-1]], bytearray(rest[-1])
+            for one in whole:
+                self.line(one)
         if len(self.part) > self.longest:
             self.cut("line too long")
--- a/peatlead/platform/__main__.py
+++ b/peatlead/platform/__main__.py
@@ -28,11 +28,16 @@
         pass
 
 
+def at_fault(_, context):
+    """A callback raised: one line, and the steward goes on; what the callback served has its deadlines."""
+    log("callback failed", why=context.get("message"), error=repr(context.get("exception")))
+
+
 async def serve():
-    read = reader(os.environ, time.time)
+    read, loop = reader(os.environ, time.time), asyncio.get_running_loop()
+    loop.set_exception_handler(at_fault)
     try:
         node = Node(read(), read, log, time.time)
-        loop = asyncio.get_running_loop()
         for one in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(one, node.stop)
         loop.add_signal_handler(signal.SIGHUP, node.reload)
@@ -46,4 +51,7 @@
 
 
 if __name__ == "__main__":
+    # Until the loop hears them, SIGTERM finds nothing that is owed, and SIGHUP a file that is yet to be read.
+    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     sys.exit(asyncio.run(serve()))
--- a/peatlead/platform/discovery.py
+++ b/peatlead/platform/discovery.py
@@ -16,26 +16,73 @@
 
 class Watch:
     """`tell(Listing)` gets each news, whole lists and changes, in order; `log(event, **fields)`, `wall()` Unix
-    seconds, `chance` a Random for the waits between tries."""
+    seconds, `chance` a Random for the waits between tries.
+
+    `version` is of the newest news. An address that was left is still heard until the new one has answered: it may
+    have news that the new one is yet to get.
+    """
 
     def __init__(self, place, tell, log, wall, chance):
         self.place, self.tell, self.log, self.wall, self.chance = place, tell, log, wall, chance
-        self.version, self.stream, self.task, self.failures, self.calls = None, None, None, 0, 0
+        self.version, self.now, self.before = None, None, None
+
+    @property
+    def failures(self):
+        return self.now.failures
 
     def start(self):
-        self.task = asyncio.get_running_loop().create_task(self.run(), name="watch")
+        self.now = Calls(self, self.place)
 
     def stop(self):
-        if self.task is not None:
-            self.task.cancel()
-        self.hang_up()
+        for calls in (self.now, self.before):
+            if calls is not None:
+                calls.stop()
+        self.before = None
 
     def move(self, place):
         """Another address from now on; what is known stands, and the next call asks for what is newer."""
-        if place != self.place:
-            self.place = place
-            self.stop()
-            self.start()
+        if place == self.place:
+            return
+        if self.now.answered:
+            if self.before is not None:
+                self.before.stop()
+            self.before = self.now
+        else:
+            self.now.stop()  # one that never answered leaves nothing to wait for
+        self.place = place
+        self.start()
+
+    def took(self, calls, listing):
+        """An answer; the version that the next call asks from is set by it."""
+        whole = listing.scope == "whole"
+        if calls is not self.now:
+            if self.version is None or listing.version <= self.version:
+                return
+        elif self.before is not None:
+            self.before.stop()
+            self.before = None
+        for why in listing.bad[:5]:
+            self.log("list entry left out", why=why)
+        if not whole and self.version is not None and listing.version < self.version:
+            self.log("discovery went back", version=listing.version, known=self.version)
+            self.version = None  # changes since when? the whole list tells
+            return
+        self.version = listing.version
+        if listing.hosts or whole:
+            self.tell(listing)
+
+
+class Calls:
+    """One call after the other to one address, until it is stopped; the address before the newest one, until it
+    fails."""
+
+    def __init__(self, watch, place):
+        self.watch, self.place, self.stream, self.failures, self.answered = watch, place, None, 0, False
+        self.task = asyncio.get_running_loop().create_task(self.run(), name=f"watch {place[0]}:{place[1]}")
+
+    def stop(self):
+        self.task.cancel()
+        self.hang_up()
 
     def hang_up(self):
         if self.stream is not None:
@@ -45,40 +92,37 @@
     async def run(self):
         while True:
             try:
-                await self.call()
+                self.watch.took(self, await self.call())
                 if self.failures:
-                    self.log("discovery answers", failures=self.failures)
-                self.failures = 0
+                    self.watch.log("discovery answers", failures=self.failures)
+                self.failures, self.answered = 0, True
             except (Failed, Unreadable) as problem:
+                if self is not self.watch.now:
+                    return self.hang_up()
                 await self.fail(str(problem))
             except Exception as problem:  # a watch that ends is worse than a list that is asked for whole again
-                self.version = None
+                self.watch.version = None
                 await self.fail(f"news not taken: {problem!r}")
 
     async def fail(self, why):
         """Told once; the next try after a while, longer each time."""
         self.hang_up()
         if not self.failures:
-            self.log("discovery does not answer", why=why, place=f"{self.place[0]}:{self.place[1]}")
+            self.watch.log("discovery does not answer", why=why, place=f"{self.place[0]}:{self.place[1]}")
         self.failures += 1
         wait = min(AGAIN_MOST, AGAIN * 2 ** min(8, self.failures - 1))
-        await asyncio.sleep(wait * self.chance.uniform(0.5, 1.0))
+        await asyncio.sleep(wait * self.watch.chance.uniform(0.5, 1.0))
 
     async def call(self):
-        loop = asyncio.get_running_loop()
+        """The Listing that the next call brings."""
+        loop, version = asyncio.get_running_loop(), self.watch.version
         if self.stream is None or not self.stream.usable:
             self.stream = None
             self.stream = await connect(loop, self.place, loop.time() + CONNECT)
-        first = self.version is None
-        path = PATH if first else f"{PATH}?after={self.version}&wait_ms={round(WAIT * 1000)}"
-        deadline = loop.time() + SLACK + (0.0 if first else WAIT)
+        wait = WAIT if self.answered and version is not None else 0.0  # a new address tells at once that it is up
+        path = PATH if version is None else f"{PATH}?after={version}&wait_ms={round(wait * 1000)}"
+        deadline = loop.time() + SLACK + wait
         answer = await self.stream.ask("GET", path, [("host", f"{self.place[0]}:{self.place[1]}")], b"", deadline)
-        self.calls += 1
         if answer.status != 200:
             raise Unreadable(f"expected 200, got {answer.status}")
-        listing = read_list(answer.body, self.wall())
-        for why in listing.bad[:5]:
-            self.log("list entry left out", why=why)
-        self.version = listing.version
-        if listing.hosts or listing.scope == "whole":
-            self.tell(listing)
+        return read_list(answer.body, self.watch.wall())
--- a/peatlead/platform/front.py
+++ b/peatlead/platform/front.py
@@ -8,19 +8,32 @@
     owner.joined(caller)           a proxy's stream, `caller.proxy` its number
     owner.left(caller)             it has ended
     owner.said(caller, message)    a HostMet, ReqsMet or MarkMet
+    owner.emptied()                after `close`: all connections have ended
 """
 
 import asyncio
 import socket
 
 from ..net.streams import Lines
-from .messages import ALIVE, CollectorHere, LifeAsked, ProxyHere, Spoilt, Unreadable, read_line, write_error
+from .messages import (
+    ALIVE,
+    LINE_MOST,
+    CollectorHere,
+    LifeAsked,
+    ProxyHere,
+    Spoilt,
+    Unreadable,
+    read_line,
+    write_error,
+)
 
 JOIN_WITHIN = 1.3  # seconds that one may take to join, or is told an error and closed
-FIRST_MOST, LINE_MOST = 4096, 65536  # bytes of a line: before joining; after it. Ours are some hundred
+REFUSED_WITHIN = 1.0  # seconds that one who was refused may take to read why
+QUIET_MOST = 15.0  # seconds of silence after which a zone's collector makes room for another of that zone
+FIRST_MOST = 4096  # bytes of a line before joining: ours are some hundred; after it a message may be LINE_MOST
 UNREAD_MOST = 128 << 10  # bytes that a party may leave unread
-AT_ONCE, BACKLOG = 16, 1024  # connections taken in one turn of the loop; that may wait meanwhile
-SPARE = 24  # descriptors for the listener, the loop, discovery and files
+AT_ONCE, BACKLOG = 8, 1024  # connections taken in one turn of the loop; that may wait meanwhile
+SPARE = 14  # descriptors for the listener, the loop, discovery and files
 
 
 class Caller(Lines):
@@ -28,7 +41,8 @@
 
     def __init__(self, front):
         super().__init__(longest=FIRST_MOST, waiting_most=UNREAD_MOST)
-        self.front, self.proxy, self.joined, self.over, self.asked, self.deadline = front, None, False, False, 0, None
+        self.front, self.proxy, self.collects, self.joined = front, None, None, False
+        self.over, self.asked, self.deadline = False, 0, None
 
     def opened(self):
         self.deadline = self.loop.call_later(JOIN_WITHIN, self.refuse, "expected a message that joins")
@@ -76,6 +90,7 @@
             if self.proxy is not None or not owner.collects(message):
                 self.refuse("expected a collector's zone")
                 return
+            self.collects = message.zone
         elif not first and self.proxy is None or (number := owner.accept(self, message)) is None:
             self.refuse("expected a proxy's number and zone")
             return
@@ -88,22 +103,32 @@
         self.front.unjoined.pop(self, None)
         if self.proxy is not None:
             owner.joined(self)
+        elif first:
+            self.front.collector(self)
 
     def refuse(self, why):
         """An error, then the end. What it goes on sending is not read."""
         if self.over:
             return
-        self.over, self.part = True, b""
+        self.over, self.part = True, bytearray()
         self.front.count("refused")
         self.send(write_error(why))
+        self.deadline.cancel()
+        self.deadline = self.loop.call_later(REFUSED_WITHIN, self.cut, "did not read why it was refused")
         self.close()
 
+    def leave(self):
+        """The steward ends: what was written is still sent, nothing is read, and the peer is told the end."""
+        self.over, self.part = True, bytearray()
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write_eof()
+
     def cut(self, reason):
         self.over = True
         super().cut(reason)
 
     def ended(self, reason):
-        self.over, self.part = True, b""
+        self.over, self.part = True, bytearray()
         self.deadline.cancel()
         self.front.remove(self, reason)
 
@@ -114,7 +139,7 @@
 
     def __init__(self, owner, sockets, reserved):
         self.owner, self.most = owner, max(8, sockets - SPARE - AT_ONCE - reserved)
-        self.callers, self.unjoined, self.counts, self.server, self.listener = {}, {}, {}, None, None
+        self.callers, self.unjoined, self.counts, self.server, self.closed = {}, {}, {}, None, False
 
     async def open(self, place):
         """Raises OSError."""
@@ -131,12 +156,29 @@
             raise
 
     def close(self):
+        """No one else is taken in; those that are there get what was written to them, then the end."""
+        self.closed = True
         if self.server is not None:
             self.server.close()
+        for caller in list(self.callers):
+            caller.leave()
+        if not self.callers:
+            self.owner.emptied()
+
+    def cut(self):
         for caller in list(self.callers):
             caller.cut("the steward ends")
 
+    def collector(self, caller):
+        """Its zone's others that have fallen silent go: a machine that vanished never ends its connection."""
+        before = caller.loop.time() - QUIET_MOST
+        for other in [one for one in self.callers if one.collects == caller.collects and one is not caller]:
+            if other.touched < before:
+                other.cut("silent")
+
     def add(self, caller):
+        if self.closed:
+            caller.cut("the steward ends")
         if len(self.callers) >= self.most:
             oldest = next(iter(self.unjoined), caller)
             self.unjoined.pop(oldest, None)
@@ -150,6 +192,8 @@
         if caller.proxy is not None:
             self.count(f"proxy: {reason}")
             self.owner.left(caller)
+        if self.closed and not self.callers:
+            self.owner.emptied()
 
     def alive(self):
         """The steward is ready: those that have asked are answered."""
@@ -161,5 +205,3 @@
     def count(self, what):
         """Kinds of ends are few: reasons of ours and names of errors."""
         self.counts[what] = self.counts.get(what, 0) + 1
-
-
--- a/peatlead/platform/messages.py
+++ b/peatlead/platform/messages.py
@@ -16,6 +16,7 @@
 LINE_MOST = 1 << 20  # bytes of one line, either way
 PARTS_MOST = 64  # lines that one message may come in
 LINES_A_PART = 10_000  # of 100 bytes at most: one part stays within LINE_MOST
+LEAST_WEIGHT = 1e-6  # what is less would be rounded to 0, which takes the line out
 PHASES = {"active": "ready", "leaving": "draining", "left": "gone"}
 RETRIES = {"never": 0, "unstarted": 1, "once": 2, "twice": 3}
 # Load reports come under the settings' names for their fields, as on the simulator's wire; the pages' own examples
@@ -171,7 +172,8 @@
             if table.whole and not at:
                 part["full"] = True
             if table.lines or table.whole:
-                part["endpoints"] = [(name, round(weight, 6)) for name, weight in table.lines[at:at + LINES_A_PART]]
+                part["endpoints"] = [(name, weight and max(LEAST_WEIGHT, round(weight, 6)))
+                                     for name, weight in table.lines[at:at + LINES_A_PART]]
             if table.level is not None and not at:
                 part["admit"], part["policy"] = table.level[0], RETRIES[table.level[1]]
             parts.append(part)
@@ -203,13 +205,17 @@
     startedAtMs: Annotated[float, Meta(ge=0)] = 0.0
 
 
+class Named(Struct):
+    instanceId: Name
+
+
 class Instances(Struct):
     generation: int
     instances: list[msgspec.Raw]
     reset: bool = False
 
 
-LIST, INSTANCE = json.Decoder(Instances), json.Decoder(Instance)
+LIST, INSTANCE, NAMED = json.Decoder(Instances), json.Decoder(Instance), json.Decoder(Named)
 
 
 def read_list(body, written):
@@ -221,14 +227,24 @@
         raise Unreadable(f"not a list: {problem}") from None
     if len(said.instances) > HOSTS_MOST:
         raise Unreadable(f"expected at most {HOSTS_MOST} hosts, got {len(said.instances)}")
-    hosts, bad = {}, []
+    hosts, bad, unread = {}, [], []
     for at, raw in enumerate(said.instances):
         try:
             entry = entry_of(INSTANCE.decode(raw))
             hosts[entry.name] = entry
         except (msgspec.MsgspecError, ValueError) as problem:
             bad.append(f"host {at}: {problem}")
-    return Listing("whole" if said.reset else "changes", said.generation, written, tuple(hosts.values()), tuple(bad))
+            unread.append(name_of(raw))
+    return Listing("whole" if said.reset else "changes", said.generation, written, tuple(hosts.values()), tuple(bad),
+                   tuple(unread))
+
+
+def name_of(raw):
+    """An entry's name, or None where that can't be read either."""
+    try:
+        return NAMED.decode(raw).instanceId
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
 
 
 def entry_of(one):
--- a/peatlead/platform/node.py
+++ b/peatlead/platform/node.py
@@ -11,6 +11,8 @@
 from .. import interface as our
 from ..choice import Planner
 from ..probes.prober import Prober
+from ..sources.listing import Listing
+from ..steward.channel import Publisher
 from ..steward.core import Core
 from ..steward.door import Door
 from .configuration import NEEDED, BadConfiguration, read_configuration
@@ -19,7 +21,10 @@
 from .messages import HostMet, MarkMet, ReqsMet, Table, read_report, write_message
 
 PROBES_AT_ONCE, PROBES_WAITING, PROBE_PATH = 24, 1000, "/status/load"
-FIRST_LIST = 1.0  # seconds that the first answer to a probe waits for discovery's list, where an old one is known
+A_PROBE_OF = 16  # descriptors: where they are few, connections of proxies come first
+FIRST_LIST = 1.0  # seconds that the first answer to a probe waits for a list, where none with hosts is known
+SETTLE = 0.4  # seconds that peers have to take what was written before the end: 0.7 s are sure
+ANEW_MOST, ANEW_SPAN = 3, 60.0  # planners that may fail within so many seconds
 GONE_MOST = 20_000  # names of hosts that went, remembered in case one comes back
 SWEEP = 5.0  # seconds between looks for hosts that the planner has forgotten
 OUTCOMES = {200: "ok", 503: "errored"}
@@ -31,15 +36,17 @@
 
     def __init__(self, told, reread, log, wall, planner=Planner):
         super().__init__(planner(told.facts, told.seed), log)
-        self.told, self.reread, self.facts = told, reread, told.facts
+        self.told, self.reread, self.facts, self.make_planner = told, reread, told.facts, planner
+        self.stopping, self.failures = False, []
         self.ahead = wall() - self.loop.time()
         self.kinds = [kind["name"] for kind in self.facts["req_kinds"]]
         self.kind_at = {name: at for at, name in enumerate(self.kinds)}
         self.door = Door(self.facts["zones"], log, self.facts.get("machines", ()), unstarted_old=True)
-        self.front = Front(self, told.sockets, PROBES_AT_ONCE)
+        probes = min(PROBES_AT_ONCE, max(1, told.sockets // A_PROBE_OF))
+        self.front = Front(self, told.sockets, probes)
         self.watch = Watch(told.discovery, self.on_listing, log, self.wall, Random(told.seed ^ 1))
         self.prober = Prober({
-            "path": PROBE_PATH, "deadline": self.facts.get("connect_timeout", 0.25), "at_once": PROBES_AT_ONCE,
+            "path": PROBE_PATH, "deadline": self.facts.get("connect_timeout", 0.25), "at_once": probes,
             "waiting_most": PROBES_WAITING}, self.on_probe, read_answer)
         self.carriers[our.Probe] = self.send_probe
         self.streams, self.ready = {}, False
@@ -52,8 +59,13 @@
 
     async def start(self):
         await self.front.open(self.told.listen)
+        if self.stopping:
+            self.front.close()
+            return
         if self.told.known is not None:
             self.on_listing(self.told.known)
+            if any(entry.phase == "ready" for entry in self.told.known.hosts):
+                self.get_ready()
         self.watch.start()
         self.loop.call_later(FIRST_LIST, self.get_ready)
         self.loop.call_later(SWEEP, self.sweep)
@@ -62,14 +74,49 @@
                      name: self.facts[name] for name in NEEDED if name not in ("zones", "proxies")})
 
     def stop(self, why="stopped"):
-        if self.ended.done():
+        """What was heard is decided on and written; each stream ends when that has gone, or after `SETTLE`."""
+        if self.stopping:
             return
-        self.ended.set_result(why)
+        if why == "stopped" and self.inbox:
+            self.step()
+        self.stopping, self.why = True, why
         self.watch.stop()
         self.prober.stop()
+        self.loop.call_later(SETTLE, self.end)
         self.front.close()
-        self.log("steward stopped", why=why, decided=self.decided, slowest=round(self.slowest, 3),
-                 ends=self.front.counts)
+
+    def emptied(self):
+        self.end()
+
+    def end(self):
+        if not self.ended.done():
+            self.ended.set_result(self.why)
+            self.front.cut()
+            self.log("steward stopped", why=self.why, decided=self.decided, slowest=round(self.slowest, 3),
+                     ends=self.front.counts)
+
+    def hear(self, event):
+        if not self.stopping:
+            super().hear(event)
+
+    def step(self):
+        if not self.stopping:
+            super().step()
+
+    def failed(self, problem):
+        """A decide raised. What it had half decided is left, and a new planner begins from the list and the streams
+        as a restarted steward would, without their ends; one that goes on failing is a steward's end."""
+        now = self.loop.time()
+        self.failures = [at for at in self.failures if at > now - ANEW_SPAN] + [now]
+        if len(self.failures) > ANEW_MOST:
+            self.stop(f"decide failed: {problem!r}")
+            return
+        self.planner = self.make_planner(self.facts, self.told.seed + len(self.failures))
+        self.publisher = Publisher()
+        self.hear(self.door.roster(Listing("remembered", 0, 0.0, tuple(self.door.entries.values())), now))
+        for proxy, caller in self.streams.items():
+            self.publisher.join(proxy, levelled=True)
+            self.hear(our.ProxyJoined(proxy, caller.zone, caller.rate, False))
 
     def get_ready(self):
         if not self.ready:
@@ -78,20 +125,25 @@
 
     def reload(self):
         """SIGHUP: discovery may have moved. All else that differs needs a start; what stands goes on."""
+        if self.stopping:
+            return
         try:
             told = self.reread()
         except BadConfiguration as problem:
             self.log("new configuration not taken", why=str(problem))
             return
-        if (told.listen, told.name, told.facts) != (self.told.listen, self.told.name, self.facts):
-            self.log("new configuration: all but discovery's address is for the next start")
+        others = [name for name in ("name", "listen", "sockets") if getattr(told, name) != getattr(self.told, name)]
+        others += sorted(name for name in {**told.facts, **self.facts}
+                         if told.facts.get(name) != self.facts.get(name))
+        if others:
+            self.log("new configuration: all but discovery's address is for the next start", differs=others[:20])
         self.log("discovery's address", place=f"{told.discovery[0]}:{told.discovery[1]}")
         self.watch.move(told.discovery)
 
     # The list.
 
     def on_listing(self, listing):
-        now = self.loop.time()
+        now, listing = self.loop.time(), self.readable(listing)
         before = {entry.name: self.phase_of(entry.name) for entry in listing.hosts}
         first, roster = not self.door.listed, self.door.roster(listing, now)
         if listing.scope != "changes":
@@ -110,6 +162,17 @@
         if listing.scope != "remembered":
             self.get_ready()
 
+    def readable(self, listing):
+        """A whole list takes out what it doesn't name: a host whose entry can't be used stays as it was known, and
+        where not even its name can be read nothing is taken out."""
+        strange = [entry for entry in listing.hosts if entry.zone not in self.door.zones]
+        unread = [*listing.unread, *(entry.name for entry in strange)]
+        if listing.scope != "whole" or not unread:
+            return listing
+        kept = [self.door.entries[self.door.index[name]] for name in unread if name in self.door.index]
+        return listing._replace(scope="changes" if None in unread else "whole", hosts=(
+            *kept, *(entry for entry in listing.hosts if entry.name not in {one.name for one in kept})))
+
     def phase_of(self, name):
         at = self.door.index.get(name)
         return None if at is None else self.door.entries[at].phase
@@ -196,12 +259,18 @@
     def offer(self, now, orders, messages, marks):
         for proxy, ops in messages.items():
             caller = self.streams.get(proxy)
-            if caller is not None:
+            if caller is None:
+                continue
+            try:
                 shut, opened = self.turned(caller, ops)
                 mark = marks[proxy][-1] if proxy in marks else None
                 data = write_message(self.tables(proxy, ops), shut, opened, mark)
-                if data:
-                    caller.send(data)
+            except Exception as problem:  # it would miss what the planner takes it to hold: it comes anew for all
+                self.log("message not written", proxy=proxy, error=repr(problem))
+                caller.cut("message not written")
+                continue
+            if data:
+                caller.send(data)
 
     def turned(self, caller, ops):
         """Names of hosts that the proxy must shut out from now on, and of those that it must let in: a line that
--- a/peatlead/sources/listing.py
+++ b/peatlead/sources/listing.py
@@ -27,12 +27,14 @@
 
 
 class Listing(NamedTuple):
-    """`scope`: "whole", "changes", "remembered" or "unavailable"; `written` by the list's own clock."""
+    """`scope`: "whole", "changes", "remembered" or "unavailable"; `written` by the list's own clock; `unread`: names
+    of hosts whose entries can't be used, None for each whose name can't be read either."""
     scope: str
     version: int
     written: float
     hosts: tuple
     bad: tuple = ()  # why entries were left out
+    unread: tuple = ()
 
 
 class Document(msgspec.Struct):
--- a/peatlead/steward/core.py
+++ b/peatlead/steward/core.py
@@ -66,20 +66,28 @@
             trace = traceback.extract_tb(problem.__traceback__)[-1]
             self.log("decide failed", error=repr(problem), at=f"{trace.filename}:{trace.lineno}",
                      events=[type(event).__name__ for event in events][:20])
-            self.stop(f"decide failed: {problem!r}")
+            self.failed(problem)
             return
         self.decided += 1
         self.slowest = max(self.slowest, self.loop.time() - now)
         messages, marks, rest = self.publisher.take(orders)
-        self.offer(now, orders, messages, marks)
-        for order in rest:
+        for order in rest:  # before the messages: without its timers a planner would stand still for good
             carry = self.carriers.get(type(order))
             if carry is not None:
                 carry(order)
+        self.offer(now, orders, messages, marks)
         self.after(now, events)
 
+    def failed(self, problem):
+        """A decide raised: half decided is worse than dead, another steward answers."""
+        self.stop(f"decide failed: {problem!r}")
+
     def set_timer(self, order):
-        self.loop.call_later(order.delay, self.fire, order.token, self.begun + order.delay)
+        self.loop.call_later(order.delay, self.fire_of, self.planner, order.token, self.begun + order.delay)
+
+    def fire_of(self, planner, token, due):
+        if planner is self.planner:  # else the planner that asked for it is no more
+            self.fire(token, due)
 
     def fire(self, token, due):
         self.hear(our.TimerFired(token))
--- a/peatlead/wire/names.py
+++ b/peatlead/wire/names.py
@@ -58,7 +58,11 @@
 
 
 def in_seconds(wire_name, value):
-    return value / MICRO if wire_name.endswith("Us") else value
+    if not wire_name.endswith("Us"):
+        return value
+    if not isinstance(value, (int, float)):
+        raise ValueError(f"{wire_name}: expected a time, got {value!r}")
+    return value / MICRO
 
 
 def settings_from(env):
@@ -76,6 +80,8 @@
     found["req_kinds"] = []
     for at, entry in enumerate(env.get("classes", ())):
         kind = {name: in_seconds(key, entry[key]) for key, name in OF_KIND.items() if key in entry}
+        kind.setdefault("response_target", kind.get("client_timeout"))  # one without a target has its deadline
+        kind.setdefault("gain", 1.0)
         kind["repeat"] = REPEATS.get(kind.get("repeat"), "non-replayable")
         kind["drops_repeats_in"] = {"cell": "cell", "zone": "zone"}.get(kind.get("drops_repeats_in"), "all")
         kind["own_zone"] = bool(own_zone[at]) if at < len(own_zone) else False
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -7,6 +7,7 @@
 from peatlead.net.http import Server
 from peatlead.net.streams import Lines
 from peatlead.platform.configuration import Told
+from peatlead.platform.messages import read_list
 from peatlead.platform.node import Node
 
 from .helpers import FACTS
@@ -55,6 +56,8 @@
             conn, path = one
             if "after=" not in path:
                 answer = {"generation": self.version, "reset": True, "instances": self.hosts}
+            elif f"after={self.version}&wait_ms=0" in path:
+                answer = {"generation": self.version, "reset": False, "instances": []}
             elif f"after={self.version}&" in path:
                 continue
             else:
@@ -80,14 +83,21 @@
         self.send(json.dumps(fields).encode() + b"\n")
 
 
+def listing(version, *instances, whole=False):
+    """As the steward reads what discovery writes."""
+    body = {"generation": version, "reset": whole, "instances": instances}
+    return read_list(json.dumps(body).encode(), 2e9)
+
+
 class Place:
     """A steward, its desk, and whoever dials it."""
 
-    def __init__(self, hosts=4, sockets=256, **facts):
+    def __init__(self, hosts=4, sockets=256, known=None, silent=False, **facts):
         self.port, self.log, self.peers = free_port(), [], []
         self.desk = Desk([instance(at, f"z{at % 2}") for at in range(hosts)])
         self.told = Told("n0", (STEWARD, self.port), ("127.3.0.9", self.port), 7, sockets,
-                         {**FACTS, "probing": False, "connect_timeout": 0.2, **facts}, None)
+                         {**FACTS, "probing": False, "connect_timeout": 0.2, **facts}, known)
+        self.desk.silent = silent
 
     async def begin(self, wall=lambda: 2e9):
         await self.desk.open(self.port)
@@ -95,6 +105,16 @@
         await self.node.start()
         return self
 
+    def moved(self, step):
+        """The configuration names discovery's address that lies `step` ports on."""
+        self.told = self.told._replace(discovery=("127.3.0.9", self.port + step))
+        self.node.reload()
+
+    async def collector(self, zone="z0"):
+        peer = await self.dial()
+        peer.say(msg="agent", locality=zone)
+        return peer
+
     async def dial(self):
         _, peer = await asyncio.get_running_loop().create_connection(Peer, STEWARD, self.port)
         self.peers.append(peer)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -178,11 +178,11 @@
         async def case(place):
             proxy = await place.proxy()
             await until(lambda: proxy.got)
-            for _ in range(60):
+            front = place.node.front
+            for _ in range(front.most + 28):
                 await place.dial()
             late = await place.proxy(1)
             await until(lambda: late.got)
-            front = place.node.front
             self.assertLessEqual(len(front.callers), front.most + 1)
             self.assertIsNone(proxy.over)
             self.assertGreater(front.counts["evicted"], 0)
