--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -317,8 +317,8 @@
             self.orders += [our.Withdraw(host, True) for host in shut]
 
     def fits(self, lines):
-        """Of withdrawals for waiting proxies a few do always; so many that they would fill the queue are more than
-        the tables that those wait for, and would only hold them up."""
+        """Of withdrawals for waiting proxies a few do always; so many that they would fill the queue are more
+        than the tables that those wait for, and would only hold them up."""
         most = self.facts["queue_most"]
         return lines < max(RESTATE_FEW * most, RESTATE_MOST * most - self.waiting.lines)
 
