--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -21,7 +21,8 @@
 from random import Random
 
 from . import interface as our
-from .indexes import Due, Holders, Ranks, Waiting, by_name, host_word, middle, middle_of, parts, proxy_key, rank
+from .indexes import Due, Holders, Ranks, Waiting, by_name, host_word, middle, middle_of, parts
+from .indexes import proxy_key, rank
 
 COVERAGE, LEAST_A_ZONE = 25.0, 1  # shards of this steward's proxies that each host should sit in; hosts
 FIRST_SHARE, STEP, GROW_WAIT = 0.25, 0.25, 10 / 3  # of the weight, at a start; each step, and its seconds
@@ -113,8 +114,7 @@
         self.full = SPREAD_FULL if self.holders > COVERAGE else FULL
         self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else float("inf")
         self.stage_at = self.restate_at = self.rounds = 0
-        # On some days the channel is slower than told: half its pace is what is counted on.
-        pace, most = settings.get("channel_rate", 1.0) / 2, settings.get("queue_most", 0.0)
+        pace, most = settings.get("channel_rate", 1.0) / 2, settings.get("queue_most", 0.0)  # it may be slower
         self.waiting = Waiting(pace, settings.get("message_head", 0.0), SLOWEST * most / pace)
         self.round_at, self.dirty, self.reqs = float("inf"), set(), [1.0] * len(settings["req_kinds"])
         self.room, self.edge, self.strain_heard, self.level_at, self.levels = 1.0, 1.0, 0.0, 0.0, None
