--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -21,8 +21,7 @@
 from random import Random
 
 from . import interface as our
-from .indexes import Due, Holders, Ranks, Waiting, by_name, host_word, middle, middle_of, parts
-from .indexes import proxy_key, rank
+from .indexes import Due, Holders, Ranks, Waiting, by_name, host_word, mass, middle, middles, proxy_key, rank
 
 COVERAGE, LEAST_A_ZONE = 25.0, 1  # shards of this steward's proxies that each host should sit in; hosts
 FIRST_SHARE, STEP, GROW_WAIT = 0.25, 0.25, 10 / 3  # of the weight, at a start; each step, and its seconds
@@ -114,7 +113,7 @@
         self.full = SPREAD_FULL if self.holders > COVERAGE else FULL
         self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else float("inf")
         self.stage_at = self.restate_at = self.rounds = 0
-        pace, most = settings.get("channel_rate", 1.0) / 2, settings.get("queue_most", 0.0)  # it may be slower
+        pace, most = settings.get("channel_rate", 1.0) / 2, settings.get("queue_most", 0.0)  # may be slower
         self.waiting = Waiting(pace, settings.get("message_head", 0.0), SLOWEST * most / pace)
         self.round_at, self.dirty, self.reqs = float("inf"), set(), [1.0] * len(settings["req_kinds"])
         self.room, self.edge, self.strain_heard, self.level_at, self.levels = 1.0, 1.0, 0.0, 0.0, None
@@ -244,7 +243,7 @@
         if self.chilly(members):
             there, proxy.wide, many = {h.id for h in members}, True, max(WARM_MOST, len(members))
             # Up to the weight of a table without cold ones: more would starve them while the others drown.
-            lacks = max(fsum(h.weight for h in around), parts(members)[0] / COLD_MOST) - fsum(parts(members))
+            lacks = max(fsum(h.weight for h in around), mass(members)[0] / COLD_MOST) - fsum(mass(members))
             warm = {z: enough([h for h in pool.top(proxy.key, 2 * many) if h.id not in there][:many], lacks)
                     for z, pool in self.warm_hosts(group).items()}
             members = members + (warm.get(proxy.zone) or [h for hosts in warm.values() for h in hosts])
@@ -262,7 +261,7 @@
 
     def chilly(self, members):
         """Cold hosts with much of a table, however small their weights, would get much that the proxy has."""
-        cold, warm = parts(members)
+        cold, warm = mass(members)
         return COLD_MOST * (cold + warm) <= cold
 
     def write_table(self, proxy):
@@ -623,9 +622,9 @@
         # What the middle try met: cold hosts that are given little say nothing of the room that is left. Few
         # tries a host are enough: when little is let in, nothing else would ever tell that all is well.
         met = [(h, ceil(h.own_tries)) for h in spoke]
-        bad = middle_of([(h.bad / h.tries, n) for h, n in met])
-        load = middle_of([(h.load, n) for h, n in met])
-        late = middle_of([(h.mean_time, n) for h, n in met]) / target
+        bad = middles([(h.bad / h.tries, n) for h, n in met])
+        load = middles([(h.load, n) for h, n in met])
+        late = middles([(h.mean_time, n) for h, n in met]) / target
         self.met = bad, load, late, len(spoke)
         self.tight = max(load / 0.9, late / LATE_MUCH, bad / BAD_MUCH) > 1 - 0.2 * self.tight and load > 0.7
         held = fsum(h.share for h in ready if h.usable) / max(1, len(ready))
--- a/peatlead/indexes.py
+++ b/peatlead/indexes.py
@@ -28,7 +28,7 @@
     return sorted(values)[len(values) // 2] if values else 0.0  # a few bad hosts do not move it
 
 
-def middle_of(counted):
+def middles(counted):
     """The same of values that count so many times each."""
     left = sum(many for _, many in counted) // 2
     for value, many in sorted(counted):
@@ -38,7 +38,7 @@
     return 0.0
 
 
-def parts(hosts):
+def mass(hosts):
     """What the cold ones weigh, and the warm."""
     return [fsum(h.weight * h.share for h in hosts if (h.cold_from is None) == warm) for warm in (0, 1)]
 
