--- a/tests/test_indexes.py
+++ b/tests/test_indexes.py
@@ -164,7 +164,7 @@
     @given(some.lists(some.tuples(some.floats(0, 10), some.integers(0, 6)), max_size=30))
     def test_the_middle_of_counted_values_is_that_of_all(self, counted):
         plain = choice.middle([value for value, many in counted for _ in range(many)])
-        self.assertEqual(choice.middle_of(counted), plain)
+        self.assertEqual(choice.middles(counted), plain)
 
     def crowd(self, many):
         facts = {**FACTS, "proxies": many, "channel_rate": 1e6, "queue_most": 1e6}
