--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -275,6 +275,20 @@
             self.assertEqual(place.node.planner.hosts[0].phase, "draining")
         play(case)
 
+    def test_news_that_came_while_a_decide_was_long_come_with_the_next_call(self):
+        async def case(place):
+            await until(lambda: place.node.watch.version == 1)
+            decide, long = place.node.planner.decide, []
+
+            def once(now, events):
+                if not long:
+                    long.append(place.desk.held.clear())  # the call that waited is lost meanwhile
+                    place.desk.change(instance(0, lifecycle="leaving"))
+                return decide(now, events)
+            with mock.patch.object(place.node.planner, "decide", once):
+                await until(lambda: place.node.planner.hosts[0].phase == "draining")
+        play(case)
+
     def test_a_spoilt_entry_of_a_whole_list_takes_its_host_out_of_nothing(self):
         async def case(place):
             await until(lambda: place.node.watch.version == 1)
@@ -393,6 +407,19 @@
         self.assertEqual(self.read(program, "steward stopped")["why"], "stopped")
         self.assertEqual(program.wait(60), 0)
 
+    def test_the_end_before_the_loop_runs_is_0_and_a_reload_then_is_none(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = f"{folder}/config.json"
+            os.mkfifo(path)
+            program = subprocess.Popen([sys.executable, "-m", "peatlead.platform"], stderr=subprocess.PIPE,
+                                       env={**os.environ, "NODE_CONFIG": path})
+            self.addCleanup(program.stderr.close)
+            self.addCleanup(program.kill)
+            with open(path, "wb"):  # it has come so far as to read what it is told
+                program.send_signal(signal.SIGHUP)
+                program.terminate()
+                self.assertEqual(program.wait(60), 0)
+
     def test_descriptors_used_up_are_no_end_and_those_that_come_later_are_served(self):
         program = self.start(preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (40, 40)))
         herd = [socket.create_connection(("127.3.0.3", self.port), 30) for _ in range(80)]
