Events on proxies and the channel, one status a second while anything waits

Need: no log told which proxy joined where, when it got its table, or what waited in the channel; the incident could not be followed from logs. Change: platform/telemetry.py writes `proxies` and `channel`; Planner.status is what they tell.

--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -145,6 +145,18 @@
         self.warm = {}
         return self.orders
 
+    def status(self, now):
+        """What logs and metrics tell of the channel and of the proxies that wait for tables."""
+        batches = self.waiting.batches
+        return our.PlannerStatus(
+            queued_lines=self.waiting.lines,
+            unanswered_lines=self.waiting.unanswered,
+            oldest_unanswered=now - batches[0][1] if batches else 0.0,
+            joined_proxies=len(self.here),
+            unbound_proxies=len(self.unbound),
+            longest_wait=now - min((proxy.joined_at for proxy in self.unbound.values()), default=now),
+            withdrawn_hosts=sum(host.withdrawn for host in self.hosts.values()))
+
     def group_kinds(self):
         """Kinds that are open to the same hosts share a table."""
         groups = {}
@@ -482,7 +494,7 @@
         groups, self.plan_at = len(self.group_open), self.now
         new = Proxy(event.proxy, groups, groups * len(self.proxies))
         proxy = self.proxies.setdefault(event.proxy, new)
-        proxy.zone, proxy.rate = event.zone, event.rate
+        proxy.zone, proxy.rate, proxy.joined_at = event.zone, event.rate, self.now
         proxy.bound = proxy.told = False
         proxy.drawn = -1
         self.here[event.proxy] = self.unbound[event.proxy] = proxy
--- a/peatlead/interface.py
+++ b/peatlead/interface.py
@@ -81,6 +81,20 @@
     payload: bytes
 
 
+class PlannerStatus(NamedTuple):
+    """For logs and metrics; no decision goes by it. `queued_lines`: what the planner takes to wait in the channel;
+    `unanswered_lines`: what no answered mark covers, and `oldest_unanswered`, seconds since the oldest of it was
+    ordered; `unbound_proxies`: joined ones without a table of this steward, and `longest_wait`, seconds since the
+    first of them joined; `withdrawn_hosts`: hosts listed as draining or gone."""
+    queued_lines: float
+    unanswered_lines: float
+    oldest_unanswered: float
+    joined_proxies: int
+    unbound_proxies: int
+    longest_wait: float
+    withdrawn_hosts: int
+
+
 class SliceGiven(NamedTuple):
     table: int
     held: bool
--- a/peatlead/platform/front.py
+++ b/peatlead/platform/front.py
@@ -6,7 +6,7 @@
     owner.accept(caller, here)     the proxy's number, or None where there is no such proxy
     owner.collects(here)           whether there is such a collector
     owner.joined(caller)           a proxy's stream, `caller.proxy` its number
-    owner.left(caller)             it has ended
+    owner.left(caller, reason)     it has ended
     owner.said(caller, message)    a HostMet, ReqsMet or MarkMet
     owner.emptied()                after `close`: all connections have ended
 """
@@ -191,7 +191,7 @@
         self.unjoined.pop(caller, None)
         if caller.proxy is not None:
             self.count(f"proxy: {reason}")
-            self.owner.left(caller)
+            self.owner.left(caller, reason)
         if self.closed and not self.callers:
             self.owner.emptied()
 
--- a/peatlead/platform/node.py
+++ b/peatlead/platform/node.py
@@ -19,6 +19,7 @@
 from .discovery import Watch
 from .front import Front
 from .messages import HostMet, MarkMet, ReqsMet, Table, read_report, write_message
+from .telemetry import Telemetry
 
 PROBES_AT_ONCE, PROBES_WAITING, PROBE_PATH = 24, 1000, "/status/load"
 A_PROBE_OF = 16  # descriptors: where they are few, connections of proxies come first
@@ -27,6 +28,7 @@
 ANEW_MOST, ANEW_SPAN = 3, 60.0  # planners that may fail within so many seconds
 GONE_MOST = 20_000  # names of hosts that went, remembered in case one comes back
 SWEEP = 5.0  # seconds between looks for hosts that the planner has forgotten
+JOINED_ANEW = "joined anew"  # why a proxy's older stream ends
 OUTCOMES = {200: "ok", 503: "errored"}
 
 
@@ -50,6 +52,7 @@
             "waiting_most": PROBES_WAITING}, self.on_probe, read_answer)
         self.carriers[our.Probe] = self.send_probe
         self.streams, self.ready = {}, False
+        self.telemetry = Telemetry(log)
         self.changed, self.gone = set(), {}  # hosts that were ever not as they are; names that were forgotten
 
     def wall(self):
@@ -216,16 +219,18 @@
         """A new stream may come before the old one is seen to end."""
         old = self.streams.get(caller.proxy)
         if old is not None:
-            self.left(old)
-            old.cut("joined anew")
+            self.left(old, JOINED_ANEW)
+            old.cut(JOINED_ANEW)
         self.streams[caller.proxy] = caller
         caller.opened = set()  # hosts that it was told of on this stream and shuts out no longer
         self.publisher.join(caller.proxy, levelled=True)
+        self.telemetry.proxy_joined(caller.proxy, not caller.standing_only)
         self.hear(our.ProxyJoined(caller.proxy, caller.zone, caller.rate, caller.standing_only))
 
-    def left(self, caller):
+    def left(self, caller, reason):
         if self.streams.get(caller.proxy) is caller:
             del self.streams[caller.proxy]
+            self.telemetry.proxy_left(caller.proxy, reason)
             self.publisher.leave(caller.proxy)
             self.hear(our.ProxyLeft(caller.proxy))
 
@@ -252,6 +257,7 @@
 
     def applied(self, caller, met):
         if met.proxy == caller.proxy:
+            self.telemetry.applied(met.took)
             return our.Applied(met.proxy, met.mark, met.took)
 
     # Orders.
@@ -271,6 +277,10 @@
                 continue
             if data:
                 caller.send(data)
+                self.telemetry.message_written(proxy, ops)
+
+    def after(self, now, events):
+        self.telemetry.end_batch(now, self.planner)
 
     def turned(self, caller, ops):
         """Names of hosts that the proxy must shut out from now on, and of those that it must let in: a line that
--- /dev/null
+++ b/tests/test_telemetry.py
@@ -0,0 +1,54 @@
+import unittest
+
+from peatlead import interface as our
+from peatlead.platform.telemetry import STATUS_EVERY, Telemetry
+
+from .helpers import planner
+from .places import until
+from .platforms import instance, play
+
+
+class Events(unittest.TestCase):
+    def setUp(self):
+        self.events = []
+        self.telemetry = Telemetry(lambda event, **fields: self.events.append((event, fields)))
+
+    def test_a_batch_names_the_proxies_that_joined_left_and_were_sent_tables(self):
+        self.telemetry.proxy_joined(1, True)
+        self.telemetry.proxy_left(2, "reset")
+        self.telemetry.message_written(1, {("bind", 0): 4, ("line", 4, 7): 1.0, ("line", 3, 6): 0.0})
+        self.telemetry.end_batch(100.0, planner())
+        self.assertEqual(self.events[0], ("proxies", {"joined": [1], "left": {"reset": [2]}, "tables": [1]}))
+        self.assertEqual({name: self.events[1][1]["since"][name] for name in ("tables", "lines", "removed_lines")},
+                         {"tables": 1, "lines": 2, "removed_lines": 1})
+
+    def test_the_status_comes_once_a_second_and_not_while_nothing_happens(self):
+        idle = planner()
+        idle.decide(200.0, [])
+        self.telemetry.end_batch(200.0, idle)
+        self.assertEqual(self.events, [])
+        for part in range(4):
+            self.telemetry.count("messages")
+            self.telemetry.end_batch(200.0 + STATUS_EVERY * (1 + part / 4), idle)
+        self.assertEqual([event for event, _ in self.events], ["channel"])
+
+    def test_the_status_tells_of_proxies_that_wait(self):
+        made = planner(queue_most=10.0)
+        made.decide(101.0, [our.ProxyJoined(2, 0, 5.0, False)])
+        status = made.status(102.5)
+        self.assertEqual((status.joined_proxies, status.unbound_proxies, status.longest_wait), (4, 2, 2.5))
+        self.assertGreater(status.unanswered_lines, 0)
+
+    def test_a_steward_tells_of_joins_tables_and_ends_of_its_streams(self):
+        async def case(place):
+            proxy = await place.proxy(3)
+            await until(lambda: proxy.got)
+            place.desk.change(instance(2, lifecycle="leaving"))
+            await until(lambda: any("eject" in part for part in proxy.got))
+            proxy.cut("over")
+            await until(lambda: any(event == "proxies" and fields["left"] for event, fields in place.log))
+            return [fields for event, fields in place.log if event == "proxies"]
+        told = play(case)
+        for name in ("joined", "tables"):
+            self.assertEqual([number for fields in told for number in fields[name]], [3], name)
+        self.assertEqual(list(told[-1]["left"].values()), [[3]])
