--- /dev/null
+++ b/tests/test_drains.py
@@ -0,0 +1,57 @@
+"""Rule 3 on real processes: a host that drains leaves every proxy's table within the grace, whatever happens to
+stewards meanwhile (docs/incidents/2026-12-02-drains-after-a-herd.md)."""
+
+import asyncio
+import tempfile
+import unittest
+
+from peatlead.day.play import free_port
+from peatlead.standin.platform_fleet import Fleet, FleetPlan
+
+from .places import run, until
+
+GRACE, SLACK = 3.0, 0.3  # seconds; the platform's pages extend the grace by so much
+PACE = 3200.0  # lines a second: all tables of 240 proxies that join at once take about six tenths of the grace
+SETTINGS = {
+    "balancers": 4, "rank": 0, "locality": 0, "zones": ["z0", "z1"], "kinds": ["m"], "classes": [
+        {"name": "read", "targetUs": 800000, "deadlineUs": 2500000, "repeat": "repeatable", "worth": 2.0},
+        {"name": "pay", "targetUs": 500000, "deadlineUs": 1200000, "repeat": "once", "worth": 6.0}],
+    "familyInfo": {"dataPlaneSize": 320, "channelRate": PACE, "perMessage": 6.0, "pendingMax": 8800.0,
+                   "emptyForUs": 4400000, "lateMostUs": 300000},
+    "obligations": {"drainGraceUs": 1e6 * GRACE, "warmAfterUs": 15000000}}
+
+
+def play(case, **plan):
+    """`case(fleet)` once all proxies hold tables; gives the report on drains."""
+    async def whole():
+        with tempfile.TemporaryDirectory() as folder:
+            fleet = Fleet(SETTINGS, FleetPlan(4, 320, 40, free_port(), **plan), folder)
+            try:
+                await fleet.start()
+                await until(lambda: all(state.ordered for state in fleet.proxies), 20.0)
+                await case(fleet)
+                await until(lambda: not fleet.still_held(), 30.0)
+                await asyncio.sleep(0.5)
+                return fleet.drain_report(GRACE + SLACK)
+            finally:
+                fleet.stop()
+                await asyncio.sleep(0.05)
+    return run(whole(), 180.0)
+
+
+class Herds(unittest.TestCase):
+    def test_a_steward_that_takes_all_proxies_in_a_release_takes_drained_hosts_out_within_the_grace(self):
+        # Three of four stewards are killed while hosts drain in steps: as in the incident, the last one writes whole
+        # tables to three quarters of the fleet and removals to the rest.
+        async def case(fleet):
+            fleet.list_hosts([fleet.host(at, "leaving") for at in range(6)])
+            await asyncio.sleep(0.2)
+            for name in fleet.names[:3]:
+                fleet.kill(name)
+            await asyncio.sleep(0.4)
+            fleet.list_hosts([fleet.host(at, "leaving") for at in range(6, 12)])
+            await asyncio.sleep(1.2)
+            fleet.list_hosts([fleet.host(at, "leaving") for at in range(12, 18)])
+        report = play(case)
+        self.assertEqual(report.late, [])
+        self.assertLessEqual(report.most_waiting, SETTINGS["familyInfo"]["pendingMax"])
