Channel backlog goes by answered marks alone; waiting proxies are told withdrawals

Cause: Planner took its channel to send half of the told pace (choice.py, pace / 2; indexes.Waiting.paced), though answered marks told that it had sent all. With 1,456 proxies on one steward it put tables off for seconds beside an idle channel, until brought tables named drained hosts past the grace; withdrawals for those who waited had been left to these tables (Planner.fits). Change: channel_backlog.py counts what no answer covers, and nothing for a proxy that has left. Proxies that stay without a table in a batch are told the withdrawals that their tables may name by rank (likely_brought); proxies on our tables lose the line alone, not by an eject beside it. Removals wait above three quarters of the queue. A restarted steward holds brought tables for half of the drain grace at most.

--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -21,7 +21,8 @@
 from random import Random
 
 from . import interface as our
-from .indexes import Due, Holders, Ranks, Waiting, by_name, host_word, mass, middle, middles, proxy_key, rank
+from .channel_backlog import ChannelBacklog
+from .indexes import Due, Holders, Ranks, by_name, host_word, mass, middle, middles, proxy_key, rank
 
 COVERAGE, LEAST_A_ZONE = 25.0, 1  # shards of this steward's proxies that each host should sit in; hosts
 FIRST_SHARE, STEP, GROW_WAIT = 0.25, 0.25, 10 / 3  # of the weight, at a start; each step, and its seconds
@@ -31,8 +32,9 @@
 FAR_MUCH, HOME_WORTH = 0.3, 0.02  # of the target, later than at home; of gain, a crossing worth a plan
 PLAN_EVERY, PLAN_SLACK = 2.0, 0.15  # seconds; the part of a zone's plan that must change to move a size
 STAGES, STAGE_GAP = 10, 0.2  # deltas reach this fraction of the proxies at a time; mean seconds between
+REMOVE_MOST, BROUGHT_DEPTH = 0.75, 1.25  # of the queue, for removals; of a shard, what a brought table may name
 AT_ONCE, SOON, MORE = 100, 0.01, 1  # tables in a batch, or removals would wait; until the next; its timer
-SLOWEST, RESTATE_FEW, RESTATE_MOST = 8, 0.02, 0.5  # times half the pace; of the queue: told always; in all
+SLOWEST, RESTATE_FEW, RESTATE_MOST = 16, 0.02, 0.5  # times slower than told; of the queue: told always; in all
 TICK, ROUND_WAIT, FADE = 0.1, 0.2, 0.25  # seconds; until a round's sums are in; what is left of older ones
 PROBE_EVERY, PROBE_AGAIN, PROBES_MOST = 1.0, 0.3, 300  # seconds; after a failure; a second, else less often
 ROUNDS_HEARD, SUMS_LATE = 3, 1.0  # until a steward that starts acts; seconds that sums are late, about
@@ -112,9 +114,10 @@
         self.holders = max(1.0, settings.get("proxies", 1) / max(1, settings.get("stewards", 1)))
         self.full = SPREAD_FULL if self.holders > COVERAGE else FULL
         self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else float("inf")
-        self.stage_at = self.restate_at = self.rounds = 0
-        pace, most = settings.get("channel_rate", 1.0) / 2, settings.get("queue_most", 0.0)  # may be slower
-        self.waiting = Waiting(pace, settings.get("message_head", 0.0), SLOWEST * most / pace)
+        self.stage_at = self.restate_at = self.rounds = self.withdrawals = 0
+        self.newly_withdrawn, self.earlier = [], {}  # hosts; by group: pools before the last lists
+        pace, most = settings.get("channel_rate", 1.0), settings.get("queue_most", 0.0)
+        self.waiting = ChannelBacklog(settings.get("message_head", 0.0), SLOWEST * most / pace)
         self.round_at, self.dirty, self.reqs = float("inf"), set(), [1.0] * len(settings["req_kinds"])
         self.room, self.edge, self.strain_heard, self.level_at, self.levels = 1.0, 1.0, 0.0, 0.0, None
         self.cutting = self.stormy = self.tight = self.sunk = self.lost = self.listed = self.spoiled = False
@@ -125,7 +128,7 @@
             our.Roster: self.on_roster, our.ProxyJoined: self.on_joined, our.ProxyLeft: self.on_left,
             our.HostSums: self.on_host_sums, our.ProbeResult: self.on_probe, our.TimerFired: self.on_timer,
             our.ReqSums: self.on_req_sums, our.PeerNote: self.on_peer_note,
-            our.Applied: lambda event: self.waiting.answered(event.mark)}
+            our.Applied: lambda event: self.waiting.answered(event.proxy, event.mark)}
 
     def decide(self, now, events):
         self.now, self.orders = now, []
@@ -138,6 +141,7 @@
         if self.now >= self.plan_at and self.hosts and self.joined:
             self.keep_plan()
         self.bind_waiting()
+        self.tell_withdrawals()
         self.remove_lost()
         self.publish_stage()
         if mark := self.waiting.end_batch():
@@ -150,8 +154,7 @@
         batches = self.waiting.batches
         return our.PlannerStatus(
             queued_lines=self.waiting.lines,
-            unanswered_lines=self.waiting.unanswered,
-            oldest_unanswered=now - batches[0][1] if batches else 0.0,
+            oldest_unanswered=now - batches[0].written_at if batches else 0.0,
             joined_proxies=len(self.here),
             unbound_proxies=len(self.unbound),
             longest_wait=now - min((proxy.joined_at for proxy in self.unbound.values()), default=now),
@@ -317,21 +320,58 @@
                           + sum(self.hosts[h].shut_once for h in proxy.lines[group]))
         if len(due) > AT_ONCE and self.has_room():
             self.orders.append(our.SetTimer(MORE, SOON))
-        # What a waiting proxy brought may name hosts that went while it was away: withdrawals are told again.
-        untold = [p for p in unbound if not (p.bound or p.told) and self.now >= self.restate_at]
-        shut = [h.id for h in self.hosts.values() if h.withdrawn]
-        if untold and self.fits(len(untold) * len(shut)):
+
+    def tell_withdrawals(self):
+        """Each withdrawal once. Proxies that wait for their tables are told of those hosts that the tables they
+        brought may name: a line each, where a whole table takes a dozen and may have to wait for room."""
+        told, self.newly_withdrawn = {host: [] for host in self.newly_withdrawn}, []
+        if told or self.now >= self.restate_at:
+            untold = [p for p in self.unbound.values() if p.told_of < self.withdrawals]
+            self.restate_at = self.now + self.facts["drain_grace"] / 4 if untold else 0.0
+            spent = 0.0
             for proxy in untold:
-                proxy.told = True
-                self.book(proxy, len(shut))
-            self.restate_at = self.now + self.facts["drain_grace"] / 4
-            self.orders += [our.Withdraw(host, True) for host in shut]
-
-    def fits(self, lines):
-        """Of withdrawals for waiting proxies a few do always; so many that they would fill the queue are more
-        than the tables that those wait for, and would only hold them up."""
+                hosts = self.likely_brought(proxy) - proxy.told
+                spent += len(hosts) + self.facts["message_head"] + 1
+                if not self.fits(spent, len(hosts) + self.facts["message_head"] + 1):
+                    break  # their tables come first
+                proxy.told_of = self.withdrawals
+                proxy.told |= hosts
+                if hosts:
+                    self.book(proxy, len(hosts))
+                for host in sorted(hosts):
+                    self.hosts[host].told_shut[proxy.number] = True
+                    told.setdefault(host, []).append(proxy.number)
+        self.orders += [our.Withdraw(host, True, tuple(waiting)) for host, waiting in told.items()]
+
+    def likely_brought(self, proxy):
+        """Ids of withdrawn hosts that the table which a waiting proxy brought may name. Every steward ranks hosts
+        alike: it was drawn from the first of the proxy's order among those that were open then."""
+        found = {host for lines in proxy.lines for host in lines if self.hosts[host].withdrawn}
+        for group in range(len(self.group_open)):
+            shard, zones = self.shard(proxy, group)
+            for zone, pool in self.earlier_pools(group, proxy.zone).items():
+                now_open, chosen = len(zones.get(zone, ())), len(shard.get(zone, ()))
+                many = ceil(BROUGHT_DEPTH * max(LEAST_A_ZONE, chosen * len(pool) / max(1, now_open)))
+                found.update(host.id for host in pool.top(proxy.key, many) if host.withdrawn)
+        return found
+
+    def earlier_pools(self, group, zone):
+        """By zone, as ranks, the hosts that the group's reqs may have gone to before the last lists."""
+        zones, machines, own_zone = self.group_open[group][0]
+        if group not in self.earlier:
+            found = {}
+            for host in self.hosts.values():
+                settled = host.withdrawn or host.phase == "ready" and host.cold_from is None
+                if settled and (not zones or host.zone in zones) and (not machines or host.machine in machines):
+                    found.setdefault(host.zone, []).append(host)
+            self.earlier[group] = {at: Ranks(hosts) for at, hosts in sorted(found.items())}
+        return {at: pool for at, pool in self.earlier[group].items() if not own_zone or at == zone}
+
+    def fits(self, in_all, lines):
+        """Of withdrawals for waiting proxies a few do always; so many that they would fill the queue would only hold
+        up the tables that those wait for. `in_all`: lines of this batch, the next `lines` among them."""
         most = self.facts["queue_most"]
-        return lines < max(RESTATE_FEW * most, RESTATE_MOST * most - self.waiting.lines)
+        return in_all < RESTATE_FEW * most or self.waiting.lines + lines < RESTATE_MOST * most
 
     def remove_lost(self):
         """Hosts that drain, went or were dropped leave every table at once: their reqs are lost reqs."""
@@ -341,6 +381,9 @@
         holding = self.held.of_all([h.id for h in self.hosts.values() if not h.usable])
         holding = [p for n in holding if (p := self.here.get(n)) and p.bound]
         for proxy in sorted(holding, key=lambda p: p.first_table):
+            if not self.has_room(REMOVE_MOST):
+                self.lost = True  # the rest with the next batches
+                break
             for group, lines in enumerate(proxy.lines):
                 gone = [h for h in lines if not self.hosts[h].usable]
                 for host in gone:
@@ -398,12 +441,9 @@
         self.listed = self.lost = True
         self.probe_every = max(PROBE_EVERY, len(self.hosts) / PROBES_MOST)
         self.pools, self.old_pools = {}, self.pools or self.old_pools
-        turned = [h for h in self.hosts.values() if (h.phase != "ready") != h.withdrawn]
-        fits = self.fits(sum(not h.withdrawn for h in turned) * len(self.unbound))
-        for proxy in self.unbound.values():
-            proxy.told &= fits
-        for host in turned:
-            self.withdraw(host, not host.withdrawn, self.unbound if fits else {})
+        self.earlier = {}
+        for host in [h for h in self.hosts.values() if (h.phase != "ready") != h.withdrawn]:
+            self.withdraw(host, not host.withdrawn)
         self.forget()
         self.all_dirty()
 
@@ -440,11 +480,17 @@
         return (self.facts.get("gone_is_advice") and host.phase == "ready" and not host.probe_fails
                 and min(self.now, self.news_at) - host.good_at < 2 * (self.cycle + self.facts["sums_every"]))
 
-    def withdraw(self, host, on, waiting):
+    def withdraw(self, host, on):
         host.withdrawn, host.withdrawn_at, host.shut_once = on, self.now, True
-        self.orders.append(our.Withdraw(host.id, on, len(waiting) < len(self.unbound)))
-        told = {**self.held.of(host.id), **waiting} if on else host.told_shut
-        host.told_shut = told if on else {}
+        if on:
+            self.newly_withdrawn.append(host.id)
+            self.withdrawals += 1
+        else:
+            self.orders.append(our.Withdraw(host.id, False))
+            for proxy in self.unbound.values():
+                proxy.told.discard(host.id)
+        told = self.held.of(host.id) if on else host.told_shut
+        host.told_shut = dict(told) if on else {}
         for number in told:
             if number in self.here:
                 self.book(self.here[number], 1)
@@ -495,18 +541,21 @@
         new = Proxy(event.proxy, groups, groups * len(self.proxies))
         proxy = self.proxies.setdefault(event.proxy, new)
         proxy.zone, proxy.rate, proxy.joined_at = event.zone, event.rate, self.now
-        proxy.bound = proxy.told = False
+        proxy.bound, proxy.told, proxy.told_of = False, set(), 0
         proxy.drawn = -1
         self.here[event.proxy] = self.unbound[event.proxy] = proxy
         proxy.sent.clear()
         # What it brings was laid by one who knew more; but all its lines may be withdrawn by now.
-        hold = max(0.0, self.facts["bare_most"] - self.facts["push_delay_most"]) / 2
+        # Nor may it name hosts that went before this steward started for longer than the grace.
+        bare = max(0.0, self.facts["bare_most"] - self.facts["push_delay_most"])
+        hold = min(bare, self.facts["drain_grace"]) / 2
         proxy.hold_until = self.now + hold * (not event.standing_only)
 
     def on_left(self, event):
         if event.proxy in self.here:
             self.here.pop(event.proxy).bound = False
             self.unbound.pop(event.proxy, None)
+            self.waiting.left(event.proxy)
 
     def on_host_sums(self, event):
         host = self.hosts.get(event.host)
@@ -784,4 +833,4 @@
         """One batch makes one message a proxy: its head counts once."""
         if new := not proxy.sent or proxy.sent[-1] < self.now:
             proxy.sent.append(self.now)
-        self.waiting.add(lines, new)
+        self.waiting.add(proxy.number, lines, new)
--- a/peatlead/indexes.py
+++ b/peatlead/indexes.py
@@ -3,16 +3,13 @@
 `Ranks` is rendezvous order (Thaler and Ravishankar, 1998) over the hosts of one pool: each proxy has its own random
 order of them, without memory, so that every steward finds the same and a new list moves few. The whole pool is
 mixed with a proxy's key at once, as lanes of one wide number: a thousand hosts cost a dozen machine loops, not a
-thousand calls, and only the top is sorted. `Holders` tells who holds a host; `Due` what time alone brings next;
-`Waiting` what was
-written and may still wait in a channel.
+thousand calls, and only the top is sorted. `Holders` tells who holds a host; `Due` what time alone brings next.
 `python -m peatlead.measure.scale` measures the planner on them against its text before.
 """
 
 import heapq
 import re
 import struct
-from collections import deque
 from functools import lru_cache
 from hashlib import blake2b
 from math import fsum
@@ -20,7 +17,6 @@
 SALT = b"turf"  # one order of many alike (docs/results/scale.md): days on the bench are compared under the same
 LANE, LOW, SHIFT = 64, 0xFFFFFFFF, 15  # bits of a lane; the part of it that holds a word; of the mixing
 FEW = 32  # hosts: up to here sorting all is as quick as looking for the top
-MARKS = 65535  # numbers of marks come round again
 BELOW = [re.compile(b"[\\x00-\\x%02x]" % top, re.DOTALL) for top in range(256)]
 
 
@@ -164,63 +160,3 @@
         while self.heap and self.heap[0][0] <= now:
             found[heapq.heappop(self.heap)[1]] = True
         return list(found)
-
-
-class Waiting:
-    """What waits in a channel that sends message after message, `pace` lines a second, as far as is known.
-
-    By the pace it would be so much; but no less than what no answered mark covers: since the channel sends in
-    order, an answer covers all that was written before, and of its own batch one message. That holds for answers that
-    come late, twice or never, and for a channel that is far slower than its pace.
-    """
-
-    __slots__ = ("pace", "head", "paced", "unanswered", "batches", "now", "mark", "new", "longest")
-
-    def __init__(self, pace, head, longest):
-        """`longest`: seconds after which what was written counts no longer: who got it may have fallen silent."""
-        self.pace, self.head, self.longest = pace, head, longest
-        self.paced, self.unanswered, self.batches = 0.0, 0.0, deque()  # lines; lines; [mark, at, lines, messages]
-        self.now, self.mark, self.new = 0.0, 0, [0.0, 0]
-
-    @property
-    def lines(self):
-        return max(self.paced, self.unanswered + self.new[0])
-
-    def advance(self, now):
-        """A batch begins."""
-        self.paced, self.now = max(0.0, self.paced - (now - self.now) * self.pace), now
-        while self.batches and self.batches[0][1] < now - self.longest:
-            self.drop()
-
-    def add(self, lines, new):
-        """Lines for a proxy; with `new`, they begin its message of this batch, with a head and a mark."""
-        lines += (self.head + 1) * new
-        self.paced += lines
-        self.new[0] += lines
-        self.new[1] += new
-
-    def end_batch(self):
-        """The mark that the batch's messages carry, 0 where there are none."""
-        if not self.new[1]:
-            return 0
-        self.mark = self.mark % MARKS + 1
-        self.batches.append([self.mark, self.now, *self.new])
-        self.unanswered, self.new = self.unanswered + self.new[0], [0.0, 0]
-        return self.mark
-
-    def answered(self, mark):
-        if not any(batch[0] == mark for batch in self.batches):
-            return
-        while self.batches[0][0] != mark:
-            self.drop()
-        batch = self.batches[0]
-        part = batch[2] / batch[3]
-        batch[2:] = batch[2] - part, batch[3] - 1
-        self.unanswered -= part
-        if not batch[3]:
-            self.drop()
-
-    def drop(self):
-        self.unanswered -= self.batches.popleft()[2]
-        if not self.batches:
-            self.unanswered = 0.0  # no sum of roundings
--- a/peatlead/interface.py
+++ b/peatlead/interface.py
@@ -82,12 +82,11 @@
 
 
 class PlannerStatus(NamedTuple):
-    """For logs and metrics; no decision goes by it. `queued_lines`: what the planner takes to wait in the channel;
-    `unanswered_lines`: what no answered mark covers, and `oldest_unanswered`, seconds since the oldest of it was
-    ordered; `unbound_proxies`: joined ones without a table of this steward, and `longest_wait`, seconds since the
-    first of them joined; `withdrawn_hosts`: hosts listed as draining or gone."""
+    """For logs and metrics; no decision goes by it. `queued_lines`: what the planner takes to wait in the channel,
+    since no answered mark covers it, and `oldest_unanswered`, seconds since the oldest of it was ordered;
+    `unbound_proxies`: joined ones without a table of this steward, and `longest_wait`, seconds since the first of
+    them joined; `withdrawn_hosts`: hosts listed as draining or gone."""
     queued_lines: float
-    unanswered_lines: float
     oldest_unanswered: float
     joined_proxies: int
     unbound_proxies: int
@@ -133,11 +132,13 @@
 
 
 class Withdraw(NamedTuple):
-    """Order: shut a host out of (or let it back into) every table that joined proxies hold; `bound_only`: not of what
-    proxies brought that are on no table yet."""
+    """Order: shut a host out of (or let it back into) the tables that joined proxies hold, whoever wrote them.
+    `waiting`: which of the proxies that are on no table of this steward yet must be told, None for all of them; a
+    channel that knows itself who holds the host needs no such list. Proxies on this steward's tables lose the host's
+    line by an order of their own."""
     host: int
     on: bool
-    bound_only: bool = False
+    waiting: Optional[tuple[int, ...]] = None
 
 
 class Admit(NamedTuple):
--- a/peatlead/steward/channel.py
+++ b/peatlead/steward/channel.py
@@ -155,20 +155,19 @@
         return out, marks, rest
 
     def concerned(self, order):
-        """A withdrawal goes to all DNS views, and to proxies that hold the host or whose tables are not ours yet.
-        To all of a thousand proxies a lost zone would be 100,000 lines, for tables that never named it. That it is
-        let in again goes to those that were told it was not: to all, a release of 300 hosts made 200,000 lines
-        wait."""
+        """A withdrawal goes to all DNS views, and to those proxies whose tables are not ours yet that it names. One
+        on our tables loses the line instead: a second line that says the same would only fill the channel. To all of
+        a thousand proxies a lost zone would be 100,000 lines, for tables that never named it. That it is let in again
+        goes to those that were told it was not: to all, a release of 300 hosts made 200,000 lines wait."""
         if not order.on:
             back = self.told.pop(order.host, set()) & self.joined
             for view in back:
                 self.shut[view].discard(order.host)
             return back
-        holding = (set() if order.bound_only else self.unbound) | (self.joined - self.levelled)
-        for table in self.holders.get(order.host, ()):
-            holding |= self.users.get(table, set())
-        self.told.setdefault(order.host, set()).update(holding)
-        news = {view for view in holding & self.joined if order.host not in self.shut[view]}
+        waiting = self.unbound if order.waiting is None else self.unbound.intersection(order.waiting)
+        told = waiting | (self.joined - self.levelled)
+        self.told.setdefault(order.host, set()).update(told)
+        news = {view for view in told & self.joined if order.host not in self.shut[view]}
         for view in news:
             self.shut[view].add(order.host)
         return news
