--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -32,9 +32,11 @@
 FAR_MUCH, HOME_WORTH = 0.3, 0.02  # of the target, later than at home; of gain, a crossing worth a plan
 PLAN_EVERY, PLAN_SLACK = 2.0, 0.15  # seconds; the part of a zone's plan that must change to move a size
 STAGES, STAGE_GAP = 10, 0.2  # deltas reach this fraction of the proxies at a time; mean seconds between
-REMOVE_MOST, BROUGHT_DEPTH = 0.75, 1.25  # of the queue, for removals; of a shard, what a brought table may name
+REMOVE_MOST = 0.75  # of the queue: past it removals wait for the next batches
+BROUGHT_DEPTH = 1.25  # of a shard, the first of a proxy's order that a table it brought may name
 AT_ONCE, SOON, MORE = 100, 0.01, 1  # tables in a batch, or removals would wait; until the next; its timer
-SLOWEST, RESTATE_FEW, RESTATE_MOST = 16, 0.02, 0.5  # times slower than told; of the queue: told always; in all
+SLOWEST = 16  # times slower than told that a channel may be
+RESTATE_FEW, RESTATE_MOST = 0.02, 0.5  # of the queue, withdrawals for waiting proxies: told always; in all
 TICK, ROUND_WAIT, FADE = 0.1, 0.2, 0.25  # seconds; until a round's sums are in; what is left of older ones
 PROBE_EVERY, PROBE_AGAIN, PROBES_MOST = 1.0, 0.3, 300  # seconds; after a failure; a second, else less often
 ROUNDS_HEARD, SUMS_LATE = 3, 1.0  # until a steward that starts acts; seconds that sums are late, about
@@ -168,14 +170,18 @@
             groups.setdefault(places, []).append(at)
         return list(groups.items())
 
+    def is_open(self, group, host):
+        """Whether the group's reqs may go to a host of that zone and machine."""
+        zones, machines, _ = self.group_open[group][0]
+        return (not zones or host.zone in zones) and (not machines or host.machine in machines)
+
     def open_hosts(self, group, zone):
         """By zone, as ranks, the hosts listed ready that the group's reqs may go to from that zone."""
-        zones, machines, own_zone = self.group_open[group][0]
+        own_zone = self.group_open[group][0][2]
         if group not in self.pools:
             found = {}
             for host in self.hosts.values():
-                if (host.phase == "ready" and (not zones or host.zone in zones)
-                        and (not machines or host.machine in machines)):
+                if host.phase == "ready" and self.is_open(group, host):
                     found.setdefault(host.zone, []).append(host)
             old, named = self.old_pools.get(group, {}), {z: by_name(found[z]) for z in sorted(found)}
             # One that is the same as by the last list stays, and what was found in it.
@@ -322,8 +328,8 @@
             self.orders.append(our.SetTimer(MORE, SOON))
 
     def tell_withdrawals(self):
-        """Each withdrawal once. Proxies that wait for their tables are told of those hosts that the tables they
-        brought may name: a line each, where a whole table takes a dozen and may have to wait for room."""
+        """Each withdrawal once. Proxies that wait for their tables are told of those hosts that the tables which
+        they brought may name: a line each, where a whole table takes a dozen and may wait for room."""
         told, self.newly_withdrawn = {host: [] for host in self.newly_withdrawn}, []
         if told or self.now >= self.restate_at:
             untold = [p for p in self.unbound.values() if p.told_of < self.withdrawals]
@@ -344,8 +350,8 @@
         self.orders += [our.Withdraw(host, True, tuple(waiting)) for host, waiting in told.items()]
 
     def likely_brought(self, proxy):
-        """Ids of withdrawn hosts that the table which a waiting proxy brought may name. Every steward ranks hosts
-        alike: it was drawn from the first of the proxy's order among those that were open then."""
+        """Ids of withdrawn hosts that the table which a waiting proxy brought may name. Every steward ranks
+        hosts alike: it was drawn from the first of the proxy's order among those that were open then."""
         found = {host for lines in proxy.lines for host in lines if self.hosts[host].withdrawn}
         for group in range(len(self.group_open)):
             shard, zones = self.shard(proxy, group)
@@ -357,19 +363,19 @@
 
     def earlier_pools(self, group, zone):
         """By zone, as ranks, the hosts that the group's reqs may have gone to before the last lists."""
-        zones, machines, own_zone = self.group_open[group][0]
+        own_zone = self.group_open[group][0][2]
         if group not in self.earlier:
             found = {}
             for host in self.hosts.values():
                 settled = host.withdrawn or host.phase == "ready" and host.cold_from is None
-                if settled and (not zones or host.zone in zones) and (not machines or host.machine in machines):
+                if settled and self.is_open(group, host):
                     found.setdefault(host.zone, []).append(host)
             self.earlier[group] = {at: Ranks(hosts) for at, hosts in sorted(found.items())}
         return {at: pool for at, pool in self.earlier[group].items() if not own_zone or at == zone}
 
     def fits(self, in_all, lines):
-        """Of withdrawals for waiting proxies a few do always; so many that they would fill the queue would only hold
-        up the tables that those wait for. `in_all`: lines of this batch, the next `lines` among them."""
+        """Of withdrawals for waiting proxies a few do always; so many that they would fill the queue would only
+        hold up the tables that those wait for. `in_all`: lines of this batch, the next `lines` among them."""
         most = self.facts["queue_most"]
         return in_all < RESTATE_FEW * most or self.waiting.lines + lines < RESTATE_MOST * most
 
