--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -328,8 +328,8 @@
             self.orders.append(our.SetTimer(MORE, SOON))
 
     def tell_withdrawals(self):
-        """Each withdrawal once. Proxies that wait for their tables are told of those hosts that the tables which
-        they brought may name: a line each, where a whole table takes a dozen and may wait for room."""
+        """Each withdrawal once. Proxies that wait for their tables are told of those hosts that the tables
+        which they brought may name: a line each, where a whole table takes a dozen and may wait for room."""
         told, self.newly_withdrawn = {host: [] for host in self.newly_withdrawn}, []
         if told or self.now >= self.restate_at:
             untold = [p for p in self.unbound.values() if p.told_of < self.withdrawals]
@@ -374,8 +374,8 @@
         return {at: pool for at, pool in self.earlier[group].items() if not own_zone or at == zone}
 
     def fits(self, in_all, lines):
-        """Of withdrawals for waiting proxies a few do always; so many that they would fill the queue would only
-        hold up the tables that those wait for. `in_all`: lines of this batch, the next `lines` among them."""
+        """Of withdrawals for waiting proxies a few do always; so many that they would fill the queue would
+        only hold up the tables that those wait for. `in_all`: lines of this batch with the next `lines`."""
         most = self.facts["queue_most"]
         return in_all < RESTATE_FEW * most or self.waiting.lines + lines < RESTATE_MOST * most
 
