--- a/tests/test_drains.py
+++ b/tests/test_drains.py
@@ -39,19 +39,53 @@
     return run(whole(), 180.0)
 
 
+def drain(fleet, hosts):
+    fleet.list_hosts([fleet.host(at, "leaving") for at in hosts])
+
+
 class Herds(unittest.TestCase):
+    def assert_kept(self, report):
+        self.assertEqual(report.late, [])
+        self.assertLessEqual(report.most_waiting, SETTINGS["familyInfo"]["pendingMax"])
+
     def test_a_steward_that_takes_all_proxies_in_a_release_takes_drained_hosts_out_within_the_grace(self):
         # Three of four stewards are killed while hosts drain in steps: as in the incident, the last one writes whole
         # tables to three quarters of the fleet and removals to the rest.
         async def case(fleet):
-            fleet.list_hosts([fleet.host(at, "leaving") for at in range(6)])
+            drain(fleet, range(6))
             await asyncio.sleep(0.2)
             for name in fleet.names[:3]:
                 fleet.kill(name)
             await asyncio.sleep(0.4)
-            fleet.list_hosts([fleet.host(at, "leaving") for at in range(6, 12)])
+            drain(fleet, range(6, 12))
             await asyncio.sleep(1.2)
-            fleet.list_hosts([fleet.host(at, "leaving") for at in range(12, 18)])
-        report = play(case)
-        self.assertEqual(report.late, [])
-        self.assertLessEqual(report.most_waiting, SETTINGS["familyInfo"]["pendingMax"])
+            drain(fleet, range(12, 18))
+        self.assert_kept(play(case))
+
+    def test_a_steward_that_restarts_in_a_release_takes_out_what_went_while_it_was_away(self):
+        # Its proxies go to the others, come home with tables of theirs, and hosts go on draining.
+        async def case(fleet):
+            drain(fleet, range(6))
+            await asyncio.sleep(0.3)
+            fleet.kill("n0")
+            await asyncio.sleep(0.2)
+            drain(fleet, range(6, 10))
+            await asyncio.sleep(0.6)
+            fleet.restart("n0")
+            await fleet.ready("n0")
+            await asyncio.sleep(1.0)
+            drain(fleet, range(10, 14))
+        self.assert_kept(play(case, rehome=1.0))
+
+    def test_all_stewards_started_anew_at_once_in_a_release_take_out_what_went_meanwhile(self):
+        async def case(fleet):
+            drain(fleet, range(6))
+            await asyncio.sleep(0.3)
+            for name in fleet.names:
+                fleet.kill(name)
+            drain(fleet, range(6, 10))
+            for name in fleet.names:
+                fleet.restart(name)
+            await asyncio.sleep(1.0)
+            drain(fleet, range(10, 14))
+        self.assert_kept(play(case))
