Shortages of our own machine and steps of the wall clock are no news of hosts

Need: calls fail as Linux documents and wall clocks are stepped; a probe that found no descriptor or port counted against its host, a listener that failed once was a refusal to start, a reload whose file could not be read lost discovery's move, and a host that started after the clock was set back an hour counted as warm. Change: net/errors.py names such errors; probes tell "denied", which is no news; the listener and the configuration are tried again for 20 s, a reload for 13 s; platform/clock.py takes a host for as young as any offset seen makes it.

--- a/peatlead/net/http.py
+++ b/peatlead/net/http.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from .errors import is_local
 from .streams import Stream, within
 
 BODY_MOST, HEAD_MOST, AHEAD_MOST = 4 << 20, 64 << 10, 16  # bytes; bytes; reqs sent ahead of their answers
@@ -19,8 +20,8 @@
 
 
 class Failed(Exception):
-    """No answer came. `outcome` is "unreachable", "timed out" or "broken"; `sent`: whether bytes of the req
-    may have reached the host."""
+    """No answer came. `outcome` is "unreachable", "denied" (this machine had no means to ask), "timed out" or
+    "broken"; `sent`: whether bytes of the req may have reached the host."""
 
     def __init__(self, outcome, sent):
         super().__init__(outcome)
@@ -179,8 +180,8 @@
         return stream
     except asyncio.TimeoutError:
         raise Failed("timed out", False) from None
-    except OSError:
-        raise Failed("unreachable", False) from None
+    except OSError as problem:
+        raise Failed("denied" if is_local(problem) else "unreachable", False) from None
 
 
 class Req(Message):
--- a/peatlead/platform/__main__.py
+++ b/peatlead/platform/__main__.py
@@ -17,7 +17,7 @@
 
 from .configuration import BadConfiguration  # noqa: E402
 from .messages import ENCODER  # noqa: E402
-from .node import Node, reader  # noqa: E402
+from .node import START_AGAIN_MOST, START_WITHIN, Node, reader  # noqa: E402
 
 
 def log(event, **fields):
@@ -33,11 +33,24 @@
     log("callback failed", why=context.get("message"), error=repr(context.get("exception")))
 
 
+async def read_patiently(read, loop):
+    """The configuration; a file that can't be read now is tried again for a while. Raises BadConfiguration."""
+    deadline = loop.time() + START_WITHIN
+    while True:
+        try:
+            return read()
+        except BadConfiguration as problem:
+            if not problem.passing or loop.time() > deadline:
+                raise
+            log("configuration put off", why=str(problem))
+        await asyncio.sleep(START_AGAIN_MOST)
+
+
 async def serve():
     read, loop = reader(os.environ, time.time), asyncio.get_running_loop()
     loop.set_exception_handler(at_fault)
     try:
-        node = Node(read(), read, log, time.time)
+        node = Node(await read_patiently(read, loop), read, log, time.time)
         for one in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(one, node.stop)
         loop.add_signal_handler(signal.SIGHUP, node.reload)
--- a/peatlead/platform/configuration.py
+++ b/peatlead/platform/configuration.py
@@ -5,6 +5,7 @@
 
 from typing import NamedTuple, Optional
 
+from ..net.errors import may_pass
 from ..sources.listing import Listing
 from ..wire.names import settings_from
 from .messages import Unreadable, read_document, read_list, read_place
@@ -20,7 +21,11 @@
 
 
 class BadConfiguration(Exception):
-    """Nothing to start by."""
+    """Nothing to start by. `passing`: it may be read a moment later."""
+
+    def __init__(self, why, passing=False):
+        super().__init__(why)
+        self.passing = passing
 
 
 class Told(NamedTuple):
@@ -44,7 +49,7 @@
         with open(path, "rb") as file:
             data = file.read()
     except OSError as problem:
-        raise BadConfiguration(f"{path}: {problem.strerror}") from None
+        raise BadConfiguration(f"{path}: {problem.strerror}", may_pass(problem)) from None
     try:
         said = read_document(data)
         known = read_list(said.known, wall)._replace(scope="remembered") if bytes(said.known) else None
--- a/peatlead/platform/node.py
+++ b/peatlead/platform/node.py
@@ -6,15 +6,18 @@
 names them.
 """
 
+import asyncio
 from random import Random
 
 from .. import interface as our
 from ..choice import Planner
+from ..net.errors import may_pass
 from ..probes.prober import Prober
 from ..sources.listing import Listing
 from ..steward.channel import Publisher
 from ..steward.core import Core
 from ..steward.door import Door
+from .clock import WallClock
 from .configuration import NEEDED, BadConfiguration, read_configuration
 from .discovery import Watch
 from .front import Front
@@ -28,25 +31,30 @@
 ANEW_MOST, ANEW_SPAN = 3, 60.0  # planners that may fail within so many seconds
 GONE_MOST = 20_000  # names of hosts that went, remembered in case one comes back
 SWEEP = 5.0  # seconds between looks for hosts that the planner has forgotten
+START_WITHIN = 20.0  # seconds for which a listener that can't be opened is tried again
+START_AGAIN, START_AGAIN_MOST = 0.05, 0.5  # seconds to the next try, doubled each time, up to this
+RELOAD_AGAIN, RELOAD_AGAIN_MOST = 0.2, 6.4  # the same of a configuration that can't be read at SIGHUP
 JOINED_ANEW = "joined anew"  # why a proxy's older stream ends
 OUTCOMES = {200: "ok", 503: "errored"}
 
 
 class Node(Core):
-    """`told`: a configuration; `reread()` gives it anew; `log(event, **fields)`; `wall()` Unix seconds, read once:
-    from then on all times are the loop's. `await start()` opens sockets (OSError)."""
+    """`told`: a configuration; `reread()` gives it anew; `log(event, **fields)`; `wall()` Unix seconds, which only
+    hosts' ages go by: all times are the loop's. `await start()` opens sockets (OSError)."""
 
     def __init__(self, told, reread, log, wall, planner=Planner):
         super().__init__(planner(told.facts, told.seed), log)
         self.told, self.reread, self.facts, self.make_planner = told, reread, told.facts, planner
         self.stopping, self.failures = False, []
-        self.ahead = wall() - self.loop.time()
+        self.clock = WallClock(wall, self.loop.time, log)
+        self.reload_again, self.reload_wait = None, RELOAD_AGAIN
         self.kinds = [kind["name"] for kind in self.facts["req_kinds"]]
         self.kind_at = {name: at for at, name in enumerate(self.kinds)}
-        self.door = Door(self.facts["zones"], log, self.facts.get("machines", ()), unstarted_old=True)
+        self.door = Door(self.facts["zones"], log, self.facts.get("machines", ()), unstarted_old=True,
+                         age_of=self.clock.age)
         probes = min(PROBES_AT_ONCE, max(1, told.sockets // A_PROBE_OF))
         self.front = Front(self, told.sockets, probes)
-        self.watch = Watch(told.discovery, self.on_listing, log, self.wall, Random(told.seed ^ 1))
+        self.watch = Watch(told.discovery, self.on_listing, log, self.clock.now, Random(told.seed ^ 1))
         self.prober = Prober({
             "path": PROBE_PATH, "deadline": self.facts.get("connect_timeout", 0.25), "at_once": probes,
             "waiting_most": PROBES_WAITING}, self.on_probe, read_answer)
@@ -55,13 +63,10 @@
         self.telemetry = Telemetry(log)
         self.changed, self.gone = set(), {}  # hosts that were ever not as they are; names that were forgotten
 
-    def wall(self):
-        return self.loop.time() + self.ahead
-
     # Its life.
 
     async def start(self):
-        await self.front.open(self.told.listen)
+        await self.open_front()
         if self.stopping:
             self.front.close()
             return
@@ -76,6 +81,20 @@
                  proxies=self.facts["proxies"], kinds=self.kinds, limits={
                      name: self.facts[name] for name in NEEDED if name not in ("zones", "proxies")})
 
+    async def open_front(self):
+        """A shortage that may pass is no reason to be no steward: tried again until `START_WITHIN`, then OSError."""
+        deadline, wait = self.loop.time() + START_WITHIN, START_AGAIN
+        while not self.stopping:
+            try:
+                await self.front.open(self.told.listen)
+                return
+            except OSError as problem:
+                if not may_pass(problem) or self.loop.time() > deadline:
+                    raise
+                self.log("listener put off", why=problem.strerror, wait=wait)
+            await asyncio.sleep(wait)
+            wait = min(START_AGAIN_MOST, 2 * wait)
+
     def stop(self, why="stopped"):
         """What was heard is decided on and written; each stream ends when that has gone, or after `SETTLE`."""
         if self.stopping:
@@ -128,12 +147,25 @@
 
     def reload(self):
         """SIGHUP: discovery may have moved. All else that differs needs a start; what stands goes on."""
+        if self.reload_again is not None:
+            self.reload_again.cancel()
+        self.reload_wait = RELOAD_AGAIN
+        self.read_again()
+
+    def read_again(self):
+        """A file that can't be read now, or is half written, is tried again for a while: a move of discovery that is
+        missed once is missed for good. One line tells of the first failure."""
+        self.reload_again = None
         if self.stopping:
             return
         try:
             told = self.reread()
         except BadConfiguration as problem:
-            self.log("new configuration not taken", why=str(problem))
+            if self.reload_wait == RELOAD_AGAIN:
+                self.log("new configuration not taken", why=str(problem))
+            if self.reload_wait <= RELOAD_AGAIN_MOST:
+                self.reload_again = self.loop.call_later(self.reload_wait, self.read_again)
+                self.reload_wait *= 2
             return
         others = [name for name in ("name", "listen", "sockets") if getattr(told, name) != getattr(self.told, name)]
         others += sorted(name for name in {**told.facts, **self.facts}
--- a/peatlead/steward/door.py
+++ b/peatlead/steward/door.py
@@ -9,14 +9,14 @@
     """Hosts by name outside, by index inside. An index is never used again: orders name hosts by it.
 
     `zones`, `machines`: names in the order of the settings; `unstarted_old`: a host that tells no start has run for
-    long, whenever it is first listed.
+    long, whenever it is first listed; `age_of(started)`: seconds since that Unix time, where lists don't tell theirs.
     """
 
-    def __init__(self, zones, log, machines=(), unstarted_old=False):
+    def __init__(self, zones, log, machines=(), unstarted_old=False, age_of=None):
         self.zones = {zone: at for at, zone in enumerate(zones)}
         self.machines = {machine: at for at, machine in enumerate(machines)}
         self.log, self.index, self.entries, self.started = log, {}, {}, {}
-        self.listed, self.unstarted_old, self.next = False, unstarted_old, 0
+        self.listed, self.unstarted_old, self.next, self.age_of = False, unstarted_old, 0, age_of
 
     def roster(self, listing, now):
         """The planner's event for a Listing, and the indices of the hosts in it."""
@@ -44,7 +44,9 @@
         if key not in self.started:
             known = written > 0 and entry.started > 0
             unknown = LONG_AGO if self.unstarted_old or not self.listed else 0.0
-            age = max(0.0, written - entry.started) if known else unknown
+            age = unknown
+            if known:
+                age = self.age_of(entry.started) if self.age_of else max(0.0, written - entry.started)
             self.started = {k: v for k, v in self.started.items() if k[0] != entry.name}
             self.started[key] = now - age
         return self.started[key]
--- /dev/null
+++ b/tests/test_shortages.py
@@ -0,0 +1,145 @@
+"""Trouble on our own machine: calls that fail for want of means, files that can't be read now, clocks that step."""
+
+import asyncio
+import errno
+import unittest
+from unittest import mock
+
+from peatlead import interface as our
+from peatlead.net.http import Failed, connect
+from peatlead.platform.clock import OFFSETS_KEPT, WallClock
+from peatlead.platform.configuration import BadConfiguration, read_configuration
+from peatlead.platform.front import Front
+
+from .helpers import planner
+from .places import run, until
+from .platforms import Place, instance, play
+
+
+class Calls(unittest.TestCase):
+    def outcome(self, number):
+        async def case():
+            loop = asyncio.get_running_loop()
+            with mock.patch.object(loop, "create_connection", side_effect=OSError(number, "planted")):
+                with self.assertRaises(Failed) as raised:
+                    await connect(loop, ("127.0.0.1", 9), loop.time() + 1.0)
+            return raised.exception.outcome
+        return run(case())
+
+    def test_a_connection_that_this_machine_has_no_means_for_tells_nothing_of_the_host(self):
+        for name in ("EMFILE", "ENFILE", "ENOBUFS", "ENOMEM", "EADDRNOTAVAIL", "ENETUNREACH", "EINTR"):
+            self.assertEqual(self.outcome(getattr(errno, name)), "denied", name)
+        for name in ("ECONNREFUSED", "EHOSTUNREACH", "ECONNRESET"):
+            self.assertEqual(self.outcome(getattr(errno, name)), "unreachable", name)
+        self.assertEqual(self.outcome(errno.ETIMEDOUT), "timed out")
+
+    def test_probes_that_could_not_be_sent_convict_nobody(self):
+        made = planner(tries_told=False, report_fields=[])
+        for tick in range(100):
+            results = [our.ProbeResult(host, "denied" if host == 3 else "ok", 0.0, None) for host in made.hosts]
+            made.decide(101.0 + tick / 10, [our.TimerFired(0), *results])
+        self.assertTrue(made.hosts[3].usable)
+
+    def test_a_listener_that_cant_be_opened_for_a_moment_is_no_refusal_to_start(self):
+        real, tries = Front.open, []
+
+        async def fail_twice(front, place):
+            tries.append(place)
+            if len(tries) < 3:
+                raise OSError(errno.ENOBUFS, "no buffers")
+            await real(front, place)
+
+        async def case(place):
+            proxy = await place.proxy()
+            await until(lambda: proxy.got)
+            self.assertEqual(sum(event == "listener put off" for event, _ in place.log), 2)
+        with mock.patch.object(Front, "open", fail_twice):
+            play(case)
+
+    def test_a_listener_that_may_not_be_opened_ends_the_start_at_once(self):
+        async def case():
+            place = Place()
+            with mock.patch.object(Front, "open", side_effect=OSError(errno.EACCES, "not permitted")):
+                with self.assertRaises(OSError):
+                    await place.begin()
+            place.end()
+        run(case())
+
+
+class Files(unittest.TestCase):
+    def test_a_configuration_that_cant_be_read_now_is_told_from_one_that_is_not_there(self):
+        expected = {errno.EIO: True, errno.EMFILE: True, errno.ENOENT: False, errno.EACCES: False}
+        for number, passing in expected.items():
+            with mock.patch("builtins.open", side_effect=OSError(number, "planted")):
+                with self.assertRaises(BadConfiguration) as raised:
+                    read_configuration({"NODE_CONFIG": "/config.json"}, 0.0)
+            self.assertEqual(raised.exception.passing, passing)
+
+    def test_a_reload_that_could_not_read_its_file_is_made_up_for(self):
+        # It was told once and forgotten: the old address closes, and discovery was silent from then on.
+        async def case(place):
+            await until(lambda: place.node.watch.version == 1)
+            told = place.told._replace(discovery=("127.3.0.9", place.port + 1))
+            with mock.patch.object(place.node, "reread", side_effect=[
+                    BadConfiguration("half written"), BadConfiguration("half written"), told]):
+                place.node.reload()
+                await until(lambda: place.node.watch.place == told.discovery)
+            refused = [fields for event, fields in place.log if event == "new configuration not taken"]
+            self.assertEqual(refused, [{"why": "half written"}])
+        play(case)
+
+
+class Clocks(unittest.TestCase):
+    """The loop's clock stands at `self.loop`, the wall clock `self.ahead` before it."""
+
+    def setUp(self):
+        self.loop, self.ahead, self.steps = 100.0, 1.9e9, []
+        self.clock = WallClock(lambda: self.loop + self.ahead, lambda: self.loop,
+                               lambda event, **fields: self.steps.append(fields["by"]))
+
+    def test_a_hosts_age_is_a_span_of_real_time_however_the_wall_clock_is_stepped(self):
+        for step in (3600.0, -3600.0, 2.5, -30.0):
+            before = self.loop + self.ahead  # a start that is stamped before the step, and one after it
+            self.loop += 5.0
+            self.ahead += step
+            after = self.loop + self.ahead
+            self.loop += 3.0
+            self.assertLessEqual(self.clock.age(before), 8.0, step)
+            self.assertLessEqual(self.clock.age(after), 3.0, step)
+        self.assertEqual(self.steps, [3600.0, -3600.0, 2.5, -30.0])
+
+    def test_without_a_step_ages_are_exact_and_slew_is_no_step(self):
+        self.loop += 50.0
+        self.assertAlmostEqual(self.clock.age(1.9e9 + 90.0), 60.0, 3)
+        self.ahead += 0.2
+        self.assertAlmostEqual(self.clock.age(1.9e9 + 140.0), 10.0, 3)
+        self.assertEqual(self.steps, [])
+
+    def test_a_start_in_the_future_is_now(self):
+        self.assertEqual(self.clock.age(2.0e9), 0.0)
+
+    def test_what_is_remembered_is_bounded(self):
+        for _ in range(100):
+            self.ahead += 7.0
+            self.clock.now()
+        self.assertEqual(len(self.clock.offsets), OFFSETS_KEPT)
+
+    def test_a_host_that_started_after_the_clock_was_set_back_counts_as_cold(self):
+        wall = [2e9]
+
+        async def case(place):
+            await until(lambda: place.node.watch.version == 1)
+            wall[0] -= 3600.0
+            place.desk.change(instance(7, started=1000 * (wall[0] - 1.0)))
+            await until(lambda: any(host.name == b"s-7" for host in place.node.planner.hosts.values()))
+            [host] = [host for host in place.node.planner.hosts.values() if host.name == b"s-7"]
+            return host.cold_from is not None
+
+        async def whole():
+            place = await Place().begin(wall=lambda: wall[0])
+            try:
+                return await case(place)
+            finally:
+                place.end()
+                await asyncio.sleep(0.02)
+        self.assertTrue(run(whole()))
