Removals yield to tables with earlier deadlines; withdrawals only where tables don't fit

Change: while tables wait for room, removals of a host wait for a third of the grace from its own loss; lines that ride along count no head; tell_withdrawals leaves those whose tables fit into what is left of the grace at the told pace.

--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -33,6 +33,7 @@
 PLAN_EVERY, PLAN_SLACK = 2.0, 0.15  # seconds; the part of a zone's plan that must change to move a size
 STAGES, STAGE_GAP = 10, 0.2  # deltas reach this fraction of the proxies at a time; mean seconds between
 REMOVE_MOST = 0.75  # of the queue: past it removals wait for the next batches
+YIELD = 1 / 3  # of the drain grace, for which removals wait while tables with earlier deadlines do
 BROUGHT_DEPTH = 1.25  # of a shard, the first of a proxy's order that a table it brought may name
 AT_ONCE, SOON, MORE = 100, 0.01, 1  # tables in a batch, or removals would wait; until the next; its timer
 SLOWEST = 16  # times slower than told that a channel may be
@@ -60,6 +61,7 @@
         self.id, self.name, self.proved = member.host, member.name, proved
         self.zone, self.machine, self.word = member.zone, member.machine, host_word(member.name)
         self.told_shut = {}  # proxies that were told it is withdrawn: those that must be told it no longer is
+        self.lost_at = now  # when it last stopped being usable
         self.moved, self.withdrawn_at = 0, now  # the planner's count when what tables go by last changed
         self.phase, self.started_at = "gone", None  # so that one listed ready counts as starting
         self.cold_from = None  # when its current cold start began, as far as is known
@@ -117,6 +119,7 @@
         self.full = SPREAD_FULL if self.holders > COVERAGE else FULL
         self.watch_at = 0.0 if settings.get("roster_mode") == "on_request" else float("inf")
         self.stage_at = self.restate_at = self.rounds = self.withdrawals = 0
+        self.starved, self.table_cost = False, COVERAGE  # tables wait for room; lines of one
         self.newly_withdrawn, self.earlier = [], {}  # hosts; by group: pools before the last lists
         pace, most = settings.get("channel_rate", 1.0), settings.get("queue_most", 0.0)
         self.waiting = ChannelBacklog(settings.get("message_head", 0.0), SLOWEST * most / pace)
@@ -311,12 +314,15 @@
         """Whole tables of all proxies at once would pass what may wait in the channel. First come those whose
         standing tables, drawn in their zone, may lack a line for some kind."""
         unbound = list(self.unbound.values())
-        due = [p for p in unbound if self.hosts and (self.now >= p.hold_until or self.rounds >= ROUNDS_HEARD)]
+        due = [p for p in unbound if self.hosts and not self.is_held(p)]
         covered = {zone: all(zone in self.open_hosts(g, zone) for g in range(len(self.group_open)))
                    for zone in {p.zone: 0 for p in due}}
+        self.starved = False
         for proxy in sorted(due, key=lambda p: covered[p.zone])[:AT_ONCE]:
             if not self.has_room():
+                self.starved = True
                 break
+            before = self.waiting.lines
             self.write_table(proxy)
             proxy.bound = True
             del self.unbound[proxy.number]
@@ -324,15 +330,28 @@
                 self.orders.append(our.BindTable(proxy.number, proxy.first_table + group, tuple(kinds)))
                 self.book(proxy, 1 + len(proxy.lines[group]) + len(self.facts["req_kinds"])
                           + sum(self.hosts[h].shut_once for h in proxy.lines[group]))
+            self.table_cost += (self.waiting.lines - before - self.table_cost) / 8
         if len(due) > AT_ONCE and self.has_room():
             self.orders.append(our.SetTimer(MORE, SOON))
 
+    def is_held(self, proxy):
+        """What it brought stands for a while after a start."""
+        return self.now < proxy.hold_until and self.rounds < ROUNDS_HEARD
+
+    def tables_fit(self):
+        """Whether, at the told pace, all that wait have their tables before the first of them must."""
+        waited = self.now - min(proxy.joined_at for proxy in self.unbound.values())
+        left = self.facts["drain_grace"] - self.facts["push_delay_most"] - waited
+        return self.waiting.lines + len(self.unbound) * self.table_cost < left * self.facts["channel_rate"]
+
     def tell_withdrawals(self):
         """Each withdrawal once. Proxies that wait for their tables are told of those hosts that the tables
         which they brought may name: a line each, where a whole table takes a dozen and may wait for room."""
         told, self.newly_withdrawn = {host: [] for host in self.newly_withdrawn}, []
         if told or self.now >= self.restate_at:
             untold = [p for p in self.unbound.values() if p.told_of < self.withdrawals]
+            if untold and self.tables_fit():  # a table is due soon, but for those whose own stands
+                untold = [p for p in untold if self.is_held(p)]
             self.restate_at = self.now + self.facts["drain_grace"] / 4 if untold else 0.0
             spent = 0.0
             for proxy in untold:
@@ -383,15 +402,19 @@
         """Hosts that drain, went or were dropped leave every table at once: their reqs are lost reqs."""
         if not self.lost:
             return
-        self.lost = False
-        holding = self.held.of_all([h.id for h in self.hosts.values() if not h.usable])
+        # Those that wait for tables came before the news that made the newest removals due.
+        before = self.now - self.starved * YIELD * self.facts["drain_grace"]
+        lost = {h.id for h in self.hosts.values() if not h.usable}
+        due = {host for host in lost if self.hosts[host].lost_at <= before}
+        self.lost = len(due) < len(lost)
+        holding = self.held.of_all(sorted(due))
         holding = [p for n in holding if (p := self.here.get(n)) and p.bound]
         for proxy in sorted(holding, key=lambda p: p.first_table):
             if not self.has_room(REMOVE_MOST):
                 self.lost = True  # the rest with the next batches
                 break
             for group, lines in enumerate(proxy.lines):
-                gone = [h for h in lines if not self.hosts[h].usable]
+                gone = [h for h in lines if h in due]
                 for host in gone:
                     self.set_line(proxy, group, host, 0.0)
                     proxy.drawn = -1
@@ -489,17 +512,20 @@
     def withdraw(self, host, on):
         host.withdrawn, host.withdrawn_at, host.shut_once = on, self.now, True
         if on:
+            host.lost_at, host.told_shut = self.now, dict(self.held.of(host.id))
             self.newly_withdrawn.append(host.id)
             self.withdrawals += 1
-        else:
-            self.orders.append(our.Withdraw(host.id, False))
-            for proxy in self.unbound.values():
-                proxy.told.discard(host.id)
-        told = self.held.of(host.id) if on else host.told_shut
-        host.told_shut = dict(told) if on else {}
-        for number in told:
+            for number in host.told_shut:  # a line more, on some channels, of the message that takes its line out
+                if number in self.here:
+                    self.waiting.add(number, 1, False)
+            return
+        self.orders.append(our.Withdraw(host.id, False))
+        for proxy in self.unbound.values():
+            proxy.told.discard(host.id)
+        for number in host.told_shut:
             if number in self.here:
                 self.book(self.here[number], 1)
+        host.told_shut = {}
 
     def start_ramp(self, host, wait=GROW_WAIT):
         self.restless[host.id] = host
@@ -721,6 +747,7 @@
     def drop(self, host, ready, by_probe):
         if sum(not h.usable for h in ready) + 1 > len(ready) * 0.4:
             return  # the rest could not carry the load, whatever the evidence
+        host.lost_at = self.now
         host.strikes = host.strikes + 1 if self.now - host.returned_at <= 30 else 1
         host.out_by_probe, host.probe_passes, self.lost = by_probe, 0, True
         host.moved = self.moves = self.moves + 1
