--- a/peatlead/choice.py
+++ b/peatlead/choice.py
@@ -515,7 +515,7 @@
             host.lost_at, host.told_shut = self.now, dict(self.held.of(host.id))
             self.newly_withdrawn.append(host.id)
             self.withdrawals += 1
-            for number in host.told_shut:  # a line more, on some channels, of the message that takes its line out
+            for number in host.told_shut:  # a line more on channels that tell holders too
                 if number in self.here:
                     self.waiting.add(number, 1, False)
             return
