Review, case 3: a steward ends with 3 because of spoilt reports on usage

Cause: a report's interval may be any number above 0; a tiny one makes a proxy's rate infinite, the zone plan NaN, and the planner raises until the process ends. Change: review/3, the case with its test.

--- /dev/null
+++ b/review/3/case.py
@@ -0,0 +1,95 @@
+"""A steward that ends because of spoilt reports while streams break and return.
+
+One in seven of the proxies' reports on usage is spoilt: a field is out of range or of another type,
+or names something that does not exist. All streams of one zone break every five seconds and return.
+The check: the steward's process may not end.
+"""
+
+import asyncio
+import sys
+from pathlib import Path
+
+import rig
+
+SPOILT_INTERVAL = 7  # every so many reports on usage, one is spoilt
+BREAK_INTERVAL = 5.0  # seconds
+TROUBLE_AT = 6.0  # seconds
+LENGTH = 90.0  # seconds
+HOSTS = 10
+PROXIES = 12
+
+
+def spoilt(number: int) -> rig.Message:
+    """Return the fields that are spoilt in the report of this number."""
+    kinds: list[rig.Message] = [
+        {"interval": 1e-310},
+        {"total": -3},
+        {"interval": 1e-310},
+        {"route": "no-such-route"},
+        {"interval": 1e-310},
+        {"interval": "soon"},
+    ]
+    return kinds[number % len(kinds)]
+
+
+class SpoiltDay(rig.Day):
+    """The day of this case."""
+
+    ends_with_breach = True
+    redial = (1.54, 4.2)  # seconds: until the break is noticed, and until the proxy dials
+
+    def __init__(self, folder: Path) -> None:
+        classes = [
+            rig.request_class("record-lookup", 2.0, home_only=True),
+            rig.request_class("detail-update", 2.0, home_only=False),
+        ]
+        super().__init__(folder, rig.settings(classes, dataPlaneSize=PROXIES, localFirst=False))
+        zones = self.settings["zones"]
+        for number in range(HOSTS):
+            name = f"s-{0x5BE2A07C + 7919 * number:08x}"
+            self.hosts[name] = rig.Host(name, zones[number % 2])
+        self.proxies = [rig.Proxy(self, number, zones[number % 2]) for number in range(PROXIES)]
+        self.report_count = 0
+
+    async def script(self) -> None:
+        """Run the clients, and break the streams of the second zone again and again."""
+        for proxy in self.proxies:
+            for name in self.class_names:
+                self.spawn(self.run_clients(proxy, name, 0.2))
+        moment = TROUBLE_AT
+        while True:
+            await asyncio.sleep(max(0.0, moment - self.now()))
+            moment += BREAK_INTERVAL
+            self.record.write("the streams of the second zone break")
+            for proxy in self.proxies[1::2]:
+                if proxy.writer is not None:
+                    proxy.writer.transport.abort()
+
+    def take_demand(self, proxy: rig.Proxy) -> list[rig.Message]:
+        """Return a proxy's reports on its requests, some of them spoilt."""
+        messages = super().take_demand(proxy)
+        for message in messages:
+            self.report_count += 1
+            number, rest = divmod(self.report_count, SPOILT_INTERVAL)
+            if self.trouble and self.now() > TROUBLE_AT and rest == 0:
+                message.update(spoilt(number))
+                self.record.write(f"spoilt: {message}")
+        return messages
+
+    def check(self) -> None:
+        """Note the end of the steward's process."""
+        code = self.steward.exit_code()
+        if code is not None and not self.breaches:
+            text = f"the steward's process has ended with {code}"
+            self.record.write(text)
+            self.breaches.append(text)
+
+
+def main() -> int:
+    """Play the day and return the exit code."""
+    day = SpoiltDay(Path(__file__).resolve().parent)
+    return day.play(day.script, LENGTH)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
