--- a/review/rig.py
+++ b/review/rig.py
@@ -319,7 +319,7 @@
             "listen": listen,
             "discovery": discovery,
             "seed": f"{self.day.seed + self.starts:016x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.day.sockets},
             "known": known,
             "settings": self.day.settings,
         }
@@ -521,6 +521,7 @@
         lines = self.day.channel.head + count_lines(parts)
         text = "; ".join(json.dumps(part)[1:-1] for part in parts)
         self.day.record.write(f"steward to proxy {self.number}: {text}")
+        self.day.count_message(self)
         self.day.channel.enter(
             QueuedPush(
                 self, self.stream, parts, lines, self.day.now(), dict(self.day.discovery.told)
@@ -608,6 +609,7 @@
 
     redial = (0.89, 2.2)  # seconds after a break until a proxy dials again
     ends_with_breach = False  # whether the day ends with the first breach
+    sockets = 1024  # descriptors that the steward may hold
 
     def __init__(self, folder: Path, day_settings: Message, seed: int = 1) -> None:
         self.started_at = time.monotonic()
@@ -707,6 +709,9 @@
     def check(self) -> None:
         """Look for breaches."""
 
+    def count_message(self, proxy: Proxy) -> None:
+        """Count a message that the steward has written to a proxy."""
+
     def limits_run(self) -> bool:
         """Return whether the time limits run: some time after the steward's first answer."""
         steward = self.steward
