Review: a case that goes wrong exits with 2, and nothing outlives it

Cause: an exception in a case ended with 1, the code of a breach; a steward that ended early or a check that failed ended with 0; a silent steward held up the wait for its first answer; SIGHUP left the steward running. Change: review/rig.py notes such errors and exits with 2, bounds the wait, and ends the steward on SIGTERM, SIGINT, SIGHUP.

--- a/review/rig.py
+++ b/review/rig.py
@@ -32,6 +32,7 @@
 GRACE_AFTER_START = 1.0  # the limits start no earlier than this after the steward's first answer
 MICROSECONDS = 1e6
 READY_TIMEOUT = 30.0  # seconds that a steward may take until its first answer
+PROBE_TIMEOUT = 2.0  # seconds that an answer to a probe is waited for
 CHECK_INTERVAL = 0.05  # seconds between two looks at the proxies' tables
 STOP_TIMEOUT = 2.0  # seconds from SIGTERM to SIGKILL; the page allows 0.7 and more
 
@@ -346,11 +347,13 @@
         """Wait for the first `alive`."""
         deadline = self.day.now() + READY_TIMEOUT
         while self.day.now() < deadline:
-            with contextlib.suppress(OSError):
+            with contextlib.suppress(OSError, TimeoutError):
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-                writer.write(b'{"msg":"probe"}\n')
-                answer = await reader.readline()
-                writer.close()
+                try:
+                    writer.write(b'{"msg":"probe"}\n')
+                    answer = await asyncio.wait_for(reader.readline(), PROBE_TIMEOUT)
+                finally:
+                    writer.close()
                 if answer:
                     self.first_answer_at = self.day.now()
                     self.day.record.write("steward answers")
@@ -625,6 +628,7 @@
         self.proxies: list[Proxy] = []
         self.outcomes: dict[tuple[str, str], Outcomes] = {}
         self.breaches: list[str] = []
+        self.errors: list[str] = []  # why the day says nothing about the rule
         self.answered = self.refused = self.failed = 0
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -639,9 +643,9 @@
         with tempfile.TemporaryDirectory() as self.folder:
             try:
                 return asyncio.run(self.play_in_loop(script, length))
-            except (OSError, TimeoutError, asyncio.CancelledError) as error:
-                self.record.write(f"could not run: {error!r}")
-                return EXIT_NOT_RUN
+            except (Exception, asyncio.CancelledError) as error:  # never the code of a breach
+                self.errors.append(repr(error))
+                return self.verdict()
             finally:
                 log = Path(self.folder) / "steward.log"
                 if log.exists():
@@ -650,16 +654,7 @@
 
     async def play_in_loop(self, script: Callable[[], Any], length: float) -> int:
         """Start everything, run the script, and end everything."""
-        self.loop = asyncio.get_running_loop()
-        task = asyncio.current_task()
-        if task is not None:  # when the case is ended from outside, its processes end too
-            self.loop.add_signal_handler(signal.SIGTERM, task.cancel)
-        self.discovery = Discovery(self.record)
-        await self.discovery.start()
-        for host in self.hosts.values():
-            await host.start()
-        for host in self.hosts.values():
-            self.discovery.update(host.entry("active"))
+        await self.start_platform()
         self.steward = Steward(self)
         self.channel = Channel(self)
         try:
@@ -675,6 +670,8 @@
                 if script_task.done():
                     script_task.result()  # raises the script's exception, if there was one
             script_task.cancel()
+            if self.steward.exit_code() is not None:
+                self.errors.append(f"the steward has ended with {self.steward.exit_code()}")
         finally:
             self.steward.kill()
             self.loop.set_exception_handler(lambda *_: None)  # streams that end with the day
@@ -682,23 +679,55 @@
                 task.cancel()
         return self.verdict()
 
+    async def start_platform(self) -> None:
+        """Start discovery and the hosts, and handle signals."""
+        self.loop = asyncio.get_running_loop()
+        task = asyncio.current_task()
+        if task is not None:  # when the case is ended from outside, its processes end too
+            for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+                self.loop.add_signal_handler(number, task.cancel)
+        self.discovery = Discovery(self.record)
+        await self.discovery.start()
+        for host in self.hosts.values():
+            await host.start()
+        for host in self.hosts.values():
+            self.discovery.update(host.entry("active"))
+
     def verdict(self) -> int:
-        """Print and record the result, and return the exit code."""
+        """Print and record the result, and return the exit code.
+
+        A day on which something else went wrong shows a breach, but not that the rule held.
+        """
+        if not self.answered:
+            self.errors.append("no request was answered")
+        result = "it held"
+        if self.breaches:
+            result = f"the rule was broken: {len(self.breaches)} times"
+        elif self.errors:
+            result = f"could not run: {self.errors[0]}"
         lines = [
             f"requests: {self.answered} answered, {self.refused} refused for lack of a line, "
             f"{self.failed} without an answer",
             *self.breaches[:20],
-            f"the rule was broken: {len(self.breaches)} times" if self.breaches else "it held",
+            result,
         ]
         for line in lines:
             print(line)
             self.record.write(line)
-        return EXIT_BROKEN if self.breaches else EXIT_HELD
+        if self.breaches:
+            return EXIT_BROKEN
+        return EXIT_NOT_RUN if self.errors else EXIT_HELD
 
     def spawn(self, coroutine: Any) -> None:
         """Run a coroutine until the end of the day."""
         task = self.loop.create_task(coroutine)
         self.tasks.add(task)
+        task.add_done_callback(self.note_end)
+
+    def note_end(self, task: asyncio.Task[None]) -> None:
+        """Note the exception of a task: from then on the day is not what it should be."""
+        if not task.cancelled() and task.exception() is not None:
+            self.errors.append(repr(task.exception()))
 
     async def run_checks(self) -> None:
         """Run `check` at a short interval."""
