--- a/review/rig.py
+++ b/review/rig.py
@@ -20,6 +20,7 @@
 import tempfile
 import time
 import tomllib
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -299,9 +300,17 @@
 class Steward:
     """The steward's process, started by the command `run` of the deploy file."""
 
-    def __init__(self, day: "Day") -> None:
+    def __init__(
+        self,
+        day: "Day",
+        discovery: Optional[Discovery] = None,
+        name: str = "n0",
+        own_settings: Optional[Message] = None,
+    ) -> None:
         self.day = day
-        self.folder = Path(day.folder)
+        self.discovery = discovery or day.discovery
+        self.name = name
+        self.settings = own_settings or day.settings
         with (ROOT / "deploy" / "balancer.toml").open("rb") as file:
             self.command = tomllib.load(file)["run"]
         self.port = free_port()
@@ -311,36 +320,37 @@
 
     async def start(self) -> None:
         """Start the process and wait for its first answer; raises TimeoutError."""
-        known = {**self.day.discovery.whole_list()}
+        known = {**self.discovery.whole_list()}
         self.starts += 1
         listen = f"127.0.0.1:{self.port}"
-        discovery = f"127.0.0.1:{self.day.discovery.port}"
+        discovery = f"127.0.0.1:{self.discovery.port}"
         configuration = {
-            "name": "n0",
+            "name": self.name,
             "listen": listen,
             "discovery": discovery,
             "seed": f"{self.day.seed + self.starts:016x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.day.sockets},
             "known": known,
-            "settings": self.day.settings,
+            "settings": self.settings,
         }
-        self.day.discovery.told = {entry["instanceId"]: entry for entry in known["instances"]}
-        path = self.folder / "config.json"
+        self.discovery.told = {entry["instanceId"]: entry for entry in known["instances"]}
+        folder = Path(self.day.folder)
+        path = folder / f"{self.name}.json"
         path.write_text(json.dumps(configuration), encoding="utf-8")
-        temporary = Path(tempfile.mkdtemp(dir=self.folder))
+        temporary = Path(tempfile.mkdtemp(dir=folder))
         environment = {
             **os.environ,
-            "NODE_NAME": "n0",
+            "NODE_NAME": self.name,
             "NODE_LISTEN": listen,
             "NODE_DISCOVERY": discovery,
             "NODE_CONFIG": str(path),
             "TMPDIR": str(temporary),
         }
-        with (self.folder / "steward.log").open("ab") as log:
+        with (folder / "steward.log").open("ab") as log:
             self.process = subprocess.Popen(
                 ["/bin/sh", "-c", self.command], cwd=ROOT, env=environment, stdout=log, stderr=log
             )
-        self.day.record.write(f"steward started, pid {self.process.pid}")
+        self.day.record.write(f"steward {self.name} started, pid {self.process.pid}")
         await self.wait_until_ready()
 
     async def wait_until_ready(self) -> None:
@@ -394,7 +404,7 @@
         return port
 
 
-@dataclass
+@dataclass(eq=False)
 class QueuedPush:
     """A message that waits in the steward's channel."""
 
@@ -426,7 +436,8 @@
         delay = min(self.max_delay, self.day.random.uniform(0.5, 1.5) * self.mean_delay)
         arrives_at = max(leaves_at + delay, self.last_arrival.get(push.proxy.number, 0.0))
         self.last_arrival[push.proxy.number] = arrives_at
-        self.day.loop.call_later(arrives_at - self.day.now(), push.proxy.apply, push)
+        push.proxy.on_the_way.append(push)  # timers of the same moment may fire in any order
+        self.day.loop.call_later(arrives_at - self.day.now(), push.proxy.arrived, push)
 
     def clear(self) -> None:
         """Forget the queue of a steward that has ended."""
@@ -472,6 +483,7 @@
         self.joined_at: Optional[float] = None
         self.stream = 0  # number of the current stream
         self.writer: Optional[asyncio.StreamWriter] = None
+        self.on_the_way: deque[QueuedPush] = deque()  # messages that have not arrived
         self.last_told: dict[str, Message] = {}  # what the last message's author had been told
         self.fails: dict[str, int] = {}
         self.avoided_until: dict[str, float] = {}
@@ -497,6 +509,7 @@
         """Join and read messages until the stream ends."""
         self.stream += 1
         self.writer = writer
+        self.on_the_way.clear()
         self.send(msg="hello", node=self.number, locality=self.zone, w=5.0, cold=not self.has_table)
         self.joined_at = self.day.now()
         self.day.record.write(f"proxy {self.number} joined, has a table: {self.has_table}")
@@ -521,15 +534,18 @@
 
     def received(self, parts: list[Message]) -> None:
         """Put a complete message into the channel."""
-        lines = self.day.channel.head + count_lines(parts)
+        channel = self.day.channel_of(self)
+        lines = channel.head + count_lines(parts)
         text = "; ".join(json.dumps(part)[1:-1] for part in parts)
         self.day.record.write(f"steward to proxy {self.number}: {text}")
         self.day.count_message(self)
-        self.day.channel.enter(
-            QueuedPush(
-                self, self.stream, parts, lines, self.day.now(), dict(self.day.discovery.told)
-            )
-        )
+        told = self.day.told_to(self)
+        channel.enter(QueuedPush(self, self.stream, parts, lines, self.day.now(), told))
+
+    def arrived(self, push: QueuedPush) -> None:
+        """Apply a message, after those of its stream that entered the channel before it."""
+        while push in self.on_the_way:
+            self.apply(self.on_the_way.popleft())
 
     def apply(self, push: QueuedPush) -> None:
         """Apply a message that has left the channel, unless its stream has ended."""
@@ -636,6 +652,14 @@
         """Return the seconds since the start of the day."""
         return time.monotonic() - self.started_at
 
+    def channel_of(self, proxy: Proxy) -> Channel:
+        """Return the channel of the proxy's steward."""
+        return self.channel
+
+    def told_to(self, proxy: Proxy) -> dict[str, Message]:
+        """Return the entries that the proxy's steward has been told."""
+        return dict(self.discovery.told)
+
     # The course of a day.
 
     def play(self, script: Callable[[], Any], length: float) -> int:
@@ -679,13 +703,17 @@
                 task.cancel()
         return self.verdict()
 
-    async def start_platform(self) -> None:
-        """Start discovery and the hosts, and handle signals."""
-        self.loop = asyncio.get_running_loop()
+    def handle_signals(self) -> None:
+        """End the day, and with it its processes, when the case is ended from outside."""
         task = asyncio.current_task()
-        if task is not None:  # when the case is ended from outside, its processes end too
+        if task is not None:
             for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
                 self.loop.add_signal_handler(number, task.cancel)
+
+    async def start_platform(self) -> None:
+        """Start discovery and the hosts, and handle signals."""
+        self.loop = asyncio.get_running_loop()
+        self.handle_signals()
         self.discovery = Discovery(self.record)
         await self.discovery.start()
         for host in self.hosts.values():
