--- a/review/cold_hosts.py
+++ b/review/cold_hosts.py
@@ -14,7 +14,7 @@
 
 import rig
 
-CHANCE_SLACK = 1.1  # factor: work above it in a window is no accident of the requests' spacing
+CHANCE_SLACK = 1.25  # factor: work above it in a window is no accident of the requests' spacing
 CORES = 3.0  # work that a warm host does in a second, in seconds
 TRY_TIMEOUT = 3.0  # seconds until a client gives a try up
 TICK = 0.02  # seconds
