--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,17 +16,17 @@
 TROUBLE_AT = 6.0  # seconds
 LENGTH = 90.0  # seconds
 HOSTS = 10
-PROXIES = 12
+PROXIES = 30
 
 
 def spoilt(number: int) -> rig.Message:
     """Return the fields that are spoilt in the report of this number."""
     kinds: list[rig.Message] = [
-        {"interval": 1e-310},
+        {"interval": sys.float_info.min},
         {"total": -3},
-        {"interval": 1e-310},
+        {"interval": sys.float_info.min},
         {"route": "no-such-route"},
-        {"interval": 1e-310},
+        {"interval": sys.float_info.min},
         {"interval": "soon"},
     ]
     return kinds[number % len(kinds)]
@@ -36,14 +36,34 @@
     """The day of this case."""
 
     ends_with_breach = True
-    redial = (1.54, 4.2)  # seconds: until the break is noticed, and until the proxy dials
+    redial = (0.98, 4.1)  # seconds: until the break is noticed, and until the proxy dials
 
     def __init__(self, folder: Path) -> None:
         classes = [
-            rig.request_class("record-lookup", 2.0, home_only=True),
-            rig.request_class("detail-update", 2.0, home_only=False),
+            rig.request_class("route-quote", 1.0, home_only=False, aim=2.0, deadline=6.0),
+            rig.request_class("rider-update", 2.0, home_only=False, aim=1.2, deadline=4.0),
         ]
-        super().__init__(folder, rig.settings(classes, dataPlaneSize=PROXIES, localFirst=False))
+        super().__init__(
+            folder,
+            rig.settings(
+                classes,
+                dataPlaneSize=PROXIES,
+                localFirst=False,
+                choice="random",
+                channelRate=7300.0,
+                pendingMax=7300.0,
+                perMessage=4.0,
+                pushDelayUs=445000,
+                lateMostUs=1112500,
+                emptyForUs=2500000,
+                drainGraceUs=2400000,
+                hearsPerS=600.0,
+                failsToEject=8,
+                standing=12,
+                crossZone=0.04,
+                zones=["akl-east", "akl-south"],
+            ),
+        )
         zones = self.settings["zones"]
         for number in range(HOSTS):
             name = f"s-{0x5BE2A07C + 7919 * number:08x}"
