Review, case 3: proxies stay away for longer than the steward plans anew

Change: a break is noticed after 2 s, as the site file allows; the first break comes after the first spoilt reports.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,6 +14,7 @@
 SPOILT_INTERVAL = 7  # every so many reports on usage, one is spoilt
 BREAK_INTERVAL = 5.0  # seconds
 TROUBLE_AT = 6.0  # seconds
+FIRST_BREAK_AT = 8.0  # seconds
 LENGTH = 90.0  # seconds
 HOSTS = 10
 PROXIES = 30
@@ -36,7 +37,7 @@
     """The day of this case."""
 
     ends_with_breach = True
-    redial = (0.98, 4.1)  # seconds: until the break is noticed, and until the proxy dials
+    redial = (2.32, 4.1)  # seconds: 2 until the break is noticed, then until the proxy dials
 
     def __init__(self, folder: Path) -> None:
         classes = [
@@ -76,7 +77,7 @@
         for proxy in self.proxies:
             for name in self.class_names:
                 self.spawn(self.run_clients(proxy, name, 0.2))
-        moment = TROUBLE_AT
+        moment = FIRST_BREAK_AT
         while True:
             await asyncio.sleep(max(0.0, moment - self.now()))
             moment += BREAK_INTERVAL
