--- a/review/fleet.py
+++ b/review/fleet.py
@@ -171,6 +171,10 @@
         outcomes = self.tallies.setdefault(key, rig.Outcomes())
         outcomes.tries += 1
         proxy.note_result(host.name, latency is not None)
+        result = "not accepted" if latency is None else f"run and answered after {latency:.3f} s"
+        self.record.write(
+            f"request {class_name} from proxy {proxy.number} to {host.name}: {result}"
+        )
         if latency is None:
             self.failed += 1
             outcomes.errors += 1
--- a/review/rig.py
+++ b/review/rig.py
@@ -366,7 +366,7 @@
                     writer.close()
                 if answer:
                     self.first_answer_at = self.day.now()
-                    self.day.record.write("steward answers")
+                    self.day.record.write(f"steward {self.name} answers")
                     return
             await asyncio.sleep(0.05)
         raise TimeoutError("no answer from the steward")
@@ -377,7 +377,7 @@
         if process is None or process.poll() is not None:
             return
         process.send_signal(signal.SIGTERM)
-        self.day.record.write("steward: SIGTERM")
+        self.day.record.write(f"steward {self.name}: SIGTERM")
         deadline = self.day.now() + STOP_TIMEOUT
         while process.poll() is None and self.day.now() < deadline:
             await asyncio.sleep(0.02)
@@ -389,7 +389,7 @@
             self.process.kill()
         if self.process is not None:
             self.process.wait()
-            self.day.record.write(f"steward ended with {self.process.returncode}")
+            self.day.record.write(f"steward {self.name} ended with {self.process.returncode}")
 
     def exit_code(self) -> Optional[int]:
         """Return the exit code, or None while the process runs."""
