--- a/review/fleet.py
+++ b/review/fleet.py
@@ -64,6 +64,7 @@
     def __init__(self, day: "FleetDay", number: int, zone: str, home: Member) -> None:
         super().__init__(day, number, zone)
         self.member = home
+        self.usage_sent_at = day.now()
         in_zone = [host.name for host in day.hosts.values() if host.zone == zone]
         count = min(len(in_zone), day.settings["familyInfo"]["standing"])
         standing = day.random.sample(in_zone, count)
@@ -102,7 +103,9 @@
     def __init__(self, folder: Path, day_settings: rig.Message, seed: int = 1) -> None:
         super().__init__(folder, day_settings, seed)
         self.members: list[Member] = []
+        # By steward, zone and host: what proxies met since the last report, and since when.
         self.tallies: dict[tuple[int, str, str], rig.Outcomes] = {}
+        self.tallied_since: dict[tuple[int, str, str], float] = {}
 
     def channel_of(self, proxy: rig.Proxy) -> rig.Channel:
         """Return the channel of the proxy's steward."""
@@ -168,7 +171,9 @@
         """Count the answer of a request, or its failure if `latency` is None."""
         assert isinstance(proxy, FleetProxy)
         key = (proxy.member.number, proxy.zone, host.name)
-        outcomes = self.tallies.setdefault(key, rig.Outcomes())
+        if key not in self.tallies:
+            self.tallies[key], self.tallied_since[key] = rig.Outcomes(), self.now()
+        outcomes = self.tallies[key]
         outcomes.tries += 1
         proxy.note_result(host.name, latency is not None)
         result = "not accepted" if latency is None else f"run and answered after {latency:.3f} s"
@@ -188,17 +193,21 @@
     async def run_reports(self, member: Member) -> None:
         """Send a steward the reports of its proxies, at most as many lines as the settings say.
 
-        What is not sent accumulates and follows, the oldest first.
+        Half of the lines are reports on usage. What is not sent accumulates and follows, the oldest
+        first.
         """
         most = round(self.settings["familyInfo"]["hearsPerS"] * REPORT_INTERVAL)
         writers: dict[str, asyncio.StreamWriter] = {}
         while not member.killed:
             await asyncio.sleep(REPORT_INTERVAL)
-            keys = [key for key in self.tallies if key[0] == member.number][:most]
+            usage_count = self.send_usage(member, most // 2)
             lines: dict[str, list[rig.Message]] = {}
-            for key in keys:
-                outcomes = self.tallies.pop(key)
-                lines.setdefault(key[1], []).append(report(key[1], key[2], outcomes))
+            for key in [key for key in self.tallies if key[0] == member.number][
+                : most - usage_count
+            ]:
+                outcomes, since = self.tallies.pop(key), self.tallied_since.pop(key)
+                message = report(key[1], key[2], outcomes, self.now() - since)
+                lines.setdefault(key[1], []).append(message)
             try:
                 for zone in self.settings["zones"]:
                     if zone not in writers:
@@ -213,9 +222,27 @@
         for writer in writers.values():
             writer.close()
 
-
-def report(zone: str, host: str, outcomes: rig.Outcomes) -> rig.Message:
-    """Return the message with what a zone's proxies met at a host."""
+    def send_usage(self, member: Member, most: int) -> int:
+        """Send reports on usage of a steward's proxies, and return the number of lines."""
+        count = 0
+        joined = [
+            proxy
+            for proxy in self.proxies
+            if proxy.member is member and proxy.joined_at is not None
+        ]
+        for proxy in sorted(joined, key=lambda proxy: proxy.usage_sent_at):
+            if count + len(self.class_names) > most:
+                break
+            interval = 1000 * (self.now() - proxy.usage_sent_at)
+            proxy.usage_sent_at = self.now()
+            for message in self.take_demand(proxy):
+                proxy.send(**{**message, "interval": interval})
+                count += 1
+        return count
+
+
+def report(zone: str, host: str, outcomes: rig.Outcomes, seconds: float) -> rig.Message:
+    """Return the message with what a zone's proxies met at a host within some seconds."""
     good = outcomes.tries - outcomes.errors
     message: rig.Message = {
         "msg": "outcomes",
@@ -224,7 +251,7 @@
         "total": outcomes.tries,
         "errors": outcomes.errors,
         "rtt": 1000 * outcomes.latency / good if good else 0.0,
-        "interval": 1600.0,
+        "interval": 1000 * max(REPORT_INTERVAL, seconds),
     }
     if good:
         message["metrics"] = {"busy": 0.4, "rif": 1}
