Planner: tables of cold endpoints admit what these can serve, growing as they warm up

Cause: a weight only divides a table's requests. Where all entries are cold, their low weights limit nothing; nothing set the fraction of a table, and classes that stay in a zone found no warm endpoints to join a cold table, not even those of that zone outside the shard. Change: TableAdmission gives the tables of a group, and zone, their own fraction (SetAdmission.table), from what a warm endpoint of the zone serves (EndpointCapacity), the present capacity of its cold ones and the requests that come; in the same message as the entries. The platform's publisher keeps fractions by table. Ruled out: weights (as planned), the ramp's pace, the order of messages (the entry alone is enough).

--- a/peatlead/controller/publisher.py
+++ b/peatlead/controller/publisher.py
@@ -1,7 +1,7 @@
 """Translates the planner's commands into messages for the subscribers."""
 
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import NamedTuple, Optional
 
 from .. import interface
 from .message import (
@@ -52,6 +52,8 @@
         self.ejected_endpoints: dict[int, set[int]] = {}
         # (admitted fraction, retry policy), by request class.
         self.admissions: dict[int, tuple[float, str]] = {}
+        # The same for the tables that have their own, by table and request class.
+        self.table_admissions: dict[int, dict[int, tuple[float, str]]] = {}
 
     def join(self, subscriber: int, enforces_admission: bool = False) -> None:
         """Add a subscriber that enforces admission itself, or leaves it to the endpoints."""
@@ -95,12 +97,21 @@
                     )
             elif isinstance(command, interface.RequestAcknowledgement):
                 self.request_acknowledgement(routed, command)
+            elif isinstance(command, interface.SetAdmission):
+                self.route_admission(routed, command)
             else:
-                if isinstance(command, interface.SetAdmission):
-                    self.set_admission(messages, command)
                 routed.local_commands.append(command)
         return routed
 
+    def route_admission(self, routed: RoutedCommands, command: interface.SetAdmission) -> None:
+        """Send an admission to proxies, and pass that of all tables to the controller itself.
+
+        The endpoints that enforce admission for DNS views do not know tables.
+        """
+        self.set_admission(routed.messages, command)
+        if command.table is None:
+            routed.local_commands.append(command)
+
     def request_acknowledgement(
         self, routed: RoutedCommands, command: interface.RequestAcknowledgement
     ) -> None:
@@ -145,14 +156,39 @@
         return to_notify
 
     def set_admission(self, messages: Messages, command: interface.SetAdmission) -> None:
-        """Set the admitted fraction and retry policy of request classes."""
-        admission = (command.fraction, command.retry_policy)
+        """Set the admitted fraction and retry policy of request classes, or of those of a table."""
+        if command.table is None:
+            admissions, subscribers = self.admissions, self.enforcing_subscribers
+        else:
+            admissions = self.table_admissions.setdefault(command.table, {})
+            subscribers = self.enforcing_subscribers.intersection(
+                self.table_subscribers.get(command.table, ())
+            )
         for request_class in command.request_classes:
-            self.admissions[request_class] = admission
-            for subscriber in self.enforcing_subscribers:
-                set_operation(
-                    messages.setdefault(subscriber, {}), (ADMISSION, request_class), admission
-                )
+            admissions[request_class] = (command.fraction, command.retry_policy)
+            for subscriber in subscribers:
+                self._send_admission(messages, subscriber, request_class)
+
+    def admission(self, subscriber: int, request_class: int) -> Optional[tuple[float, str]]:
+        """Return the admission in force at a subscriber, or None if none was set.
+
+        If both the class and its table have an admission, the lower fraction and the table's retry
+        policy are in force.
+        """
+        admission = self.admissions.get(request_class)
+        table = self.assigned_tables.get(subscriber, {}).get(request_class)
+        own = None if table is None else self.table_admissions.get(table, {}).get(request_class)
+        if admission is None or own is None:
+            return own or admission
+        return min(admission[0], own[0]), own[1]
+
+    def _send_admission(self, messages: Messages, subscriber: int, request_class: int) -> None:
+        """Add the admission in force to a subscriber's message."""
+        set_operation(
+            messages.setdefault(subscriber, {}),
+            (ADMISSION, request_class),
+            self.admission(subscriber, request_class),
+        )
 
     def set_entry(self, messages: Messages, table: int, endpoint: int, weight: float) -> None:
         """Set an endpoint's weight in a table, for all subscribers of the table; 0 removes it."""
@@ -187,3 +223,6 @@
         self.table_subscribers.setdefault(table, set()).add(proxy)
         for endpoint, weight in self.tables.get(table, {}).items():
             set_operation(operations, (ENTRY, table, endpoint), weight)
+        if proxy in self.enforcing_subscribers:
+            for request_class in self.table_admissions.get(table, {}):
+                self._send_admission(messages, proxy, request_class)
--- a/peatlead/planner/class_admission.py
+++ b/peatlead/planner/class_admission.py
@@ -6,27 +6,23 @@
 """
 
 from math import fsum
-from typing import NamedTuple, Optional
+from typing import Optional
 
 from ..interface import RequestStats, RetryPolicy, SetAdmission
+from .admission import Admission
 from .channel_budget import ChannelBudget
 from .context import PlannerContext
 from .fleet_load import FleetLoad
 from .input_bounds import request_stats_are_usable
 from .load_shedding import LoadShedding
+from .proxy_state import ProxyState
 from .request_demand import RequestDemand
+from .table_admission import TableAdmission
 from .zone_capacity import MIN_DIVISOR
 
 MIN_CLASS_FRACTION = 0.05  # minimum admitted fraction of a class
 
 
-class Admission(NamedTuple):
-    """The published admission of one class."""
-
-    fraction: float
-    retry_policy: str
-
-
 class ClassAdmission:
     """Computes the admissions of all request classes, and publishes those that have changed."""
 
@@ -36,12 +32,14 @@
         demand: RequestDemand,
         fleet_load: FleetLoad,
         load_shedding: LoadShedding,
+        table_admission: TableAdmission,
         budget: ChannelBudget,
     ) -> None:
         self.context = context
         self.demand = demand
         self.fleet_load = fleet_load
         self.load_shedding = load_shedding
+        self.table_admission = table_admission
         self.budget = budget
         # The published admission of each class; None before the first batch.
         self.admissions: Optional[list[Admission]] = None
@@ -52,8 +50,15 @@
         if not request_stats_are_usable(event, self.context.settings["sums_every"]):
             return
         if proxy and event.request_class < len(self.demand.requests):
-            assert self.admissions is not None, "admissions are published before the first event"
-            self.demand.add(proxy, event, self.admissions[event.request_class].fraction)
+            self.demand.add(proxy, event, self._admitted_fraction(proxy, event.request_class))
+
+    def _admitted_fraction(self, proxy: ProxyState, request_class: int) -> float:
+        """Return the fraction of a class that a proxy admits: the lower one of class and table."""
+        assert self.admissions is not None, "admissions are published before the first event"
+        group = self.table_admission.pools.group_of_class[request_class]
+        return min(
+            self.admissions[request_class].fraction, self.table_admission.fraction(proxy, group)
+        )
 
     def publish(self) -> None:
         """Emit the admissions that have changed."""
@@ -70,6 +75,7 @@
             if not previous or admission != previous[request_class]
         ]
         self.admissions = admissions
+        self.table_admission.set_retry_policy(admissions[0].retry_policy)
         for proxy in self.context.connected_proxies:
             self.budget.spend(proxy, len(admissions))
 
--- a/peatlead/planner/endpoint_pools.py
+++ b/peatlead/planner/endpoint_pools.py
@@ -30,6 +30,13 @@
         return in_zone and (not self.machine_types or endpoint.machine_type in self.machine_types)
 
 
+class Scope(NamedTuple):
+    """The tables of a group that may name the same endpoints."""
+
+    group: int
+    zone: Optional[int]  # the zone of the proxies and endpoints; None for all zones
+
+
 def group_request_classes(settings: PlannerSettings) -> list[RequestGroup]:
     """Return the groups, ordered by their first classes."""
     groups: dict[tuple[tuple[int, ...], tuple[int, ...], bool], RequestGroup] = {}
@@ -50,6 +57,11 @@
         self.context = context
         self.zone_paths = zone_paths
         self.groups = group_request_classes(context.settings)
+        self.group_of_class = {
+            request_class: number
+            for number, group in enumerate(self.groups)
+            for request_class in group.request_classes
+        }
         self.ready_pools: dict[int, Pools] = {}  # by group
         self.previous_ready_pools: dict[int, Pools] = {}  # by group, of the list before
         self.earlier_pools: dict[int, Pools] = {}  # by group: see `previously_allowed_pools`
@@ -78,6 +90,10 @@
             if (zone, endpoint_zone) not in bad_paths
         } or pools
 
+    def scope(self, group: int, zone: int) -> Scope:
+        """Return the scope of a group's tables for the proxies of a zone."""
+        return Scope(group, zone if self.groups[group].own_zone else None)
+
     def previously_allowed_pools(self, group: int, zone: int) -> Pools:
         """Return the pools of endpoints that tables computed from earlier lists may name.
 
--- a/peatlead/planner/endpoint_state.py
+++ b/peatlead/planner/endpoint_state.py
@@ -93,6 +93,8 @@
         """Discard the reported counts and loads, which no longer describe the running process."""
         self.counts_by_zone: dict[int, DatedCounts] = {}  # by the zone of the proxies
         self.counts_by_peer: dict[int, DatedCounts] = {}  # by the controller that sent the counts
+        # By the zone of the proxies: successful attempts per second while the endpoint is warm.
+        self.success_rates: dict[int, float] = {}
         # Sums of the last round, including counts from other controllers, excluding bad paths.
         self.attempts = 0.0
         self.errors = 0.0
--- a/peatlead/planner/load_statistics.py
+++ b/peatlead/planner/load_statistics.py
@@ -58,15 +58,22 @@
         self.reporting_cycle = max(MIN_CYCLE, context.settings.get("sums_every", 1.0))
         self.last_success_at = 0.0  # seconds, of an attempt at any endpoint
         self.median_attempts = 0.0  # of the ready endpoints, without other controllers' counts
+        targets = [
+            request_class["response_target"] for request_class in context.settings["req_kinds"]
+        ]
+        self.max_latency = MAX_LATENCY_FACTOR * max(targets, default=0.0)  # seconds
 
-    def on_endpoint_stats(self, event: EndpointStats) -> None:
-        """Add a report about one endpoint from the proxies of one zone."""
+    def on_endpoint_stats(self, event: EndpointStats) -> bool:
+        """Add a report about one endpoint from the proxies of one zone.
+
+        Return whether the report was used.
+        """
         if not endpoint_stats_are_usable(event, self.context.settings["sums_every"]):
-            return
+            return False
         endpoint = self.context.endpoints.get(event.endpoint)
         self.report_round.note_report()
         if endpoint is None or self._predates_start(event, endpoint):
-            return
+            return False
         # If the rate of reports is limited, a report covers more time than the configured interval.
         configured = max(MIN_CYCLE, self.context.settings["sums_every"])
         max_interval = max(
@@ -78,6 +85,7 @@
         endpoint.add_load_report(event.load_report)
         if event.errors:
             self.health_checks.check_early(endpoint)
+        return True
 
     def _predates_start(self, event: EndpointStats, endpoint: EndpointState) -> bool:
         """Return whether the report covers a previous process of the endpoint."""
@@ -92,7 +100,7 @@
         if event.attempts > event.errors:
             endpoint.last_success_at = now
         self.last_success_at = max(self.last_success_at, endpoint.last_success_at)
-        attempts, errors, latency_sum = self._limited_counts(event)
+        attempts, errors, latency_sum = self.limited_counts(event)
         previous = endpoint.counts_by_zone.get(event.zone)
         if previous is None:
             endpoint.counts_by_zone[event.zone] = DatedCounts(now, attempts, errors, latency_sum)
@@ -105,7 +113,7 @@
             previous.latency_sum * decay + latency_sum,
         )
 
-    def _limited_counts(self, event: EndpointStats) -> Counts:
+    def limited_counts(self, event: EndpointStats) -> Counts:
         """Return the counts of a report, reduced if they are far out of the usual.
 
         The decayed counts would otherwise be those of one report with an impossible number for many
@@ -113,8 +121,7 @@
         """
         limit = MAX_ATTEMPTS_FACTOR * max(MIN_LIMITED_ATTEMPTS, self.median_attempts)
         fraction = min(1.0, limit / max(1, event.attempts))
-        targets = [given["response_target"] for given in self.context.settings["req_kinds"]]
-        mean_latency = min(event.mean_latency, MAX_LATENCY_FACTOR * max(targets))
+        mean_latency = min(event.mean_latency, self.max_latency)
         attempts, errors = event.attempts * fraction, event.errors * fraction
         return Counts(attempts, errors, mean_latency * (attempts - errors))
 
--- a/peatlead/planner/planner.py
+++ b/peatlead/planner/planner.py
@@ -18,6 +18,7 @@
 from .channel_budget import ChannelBudget
 from .class_admission import ClassAdmission
 from .context import PlannerContext
+from .endpoint_capacity import EndpointCapacity
 from .endpoint_lifecycle import EndpointLifecycle
 from .endpoint_pools import EndpointPools
 from .endpoint_schedule import EndpointSchedule
@@ -40,6 +41,7 @@
 from .shuffle_sharding import ShuffleSharding
 from .slow_start import SlowStart
 from .staged_updates import StagedUpdates
+from .table_admission import TableAdmission
 from .table_assignment import TableAssignment
 from .table_changes import TableChanges
 from .table_writer import TableWriter
@@ -78,7 +80,7 @@
             interface.EndpointUpdate: self.endpoint_updates.on_update,
             interface.ProxyConnected: self.connections.on_connected,
             interface.ProxyDisconnected: self.connections.on_disconnected,
-            interface.EndpointStats: self.load_statistics.on_endpoint_stats,
+            interface.EndpointStats: self.on_endpoint_stats,
             interface.HealthCheckResult: self.health_checks.on_result,
             interface.TimerFired: self.on_timer,
             interface.RequestStats: self.class_admission.on_request_stats,
@@ -93,6 +95,7 @@
         self.health_checks = HealthChecks(context, changes, self.schedule, self.report_round)
         self.load_statistics = LoadStatistics(context, self.report_round, self.health_checks)
         self.demand = RequestDemand(context)
+        self.capacity = EndpointCapacity(context, self.demand, self.load_statistics)
         self.zone_paths = ZonePaths(context, changes, self.demand, self.load_statistics)
         self.gossip = Gossip(context, self.load_statistics)
 
@@ -101,16 +104,19 @@
         context, changes, budget = self.context, self.changes, self.budget
         self.pools = EndpointPools(context, self.zone_paths)
         self.zone_capacity = ZoneCapacity(context, changes, self.pools, self.demand)
-        self.sharding = ShuffleSharding(context, self.pools, self.zone_capacity)
-        self.writer = TableWriter(context, changes, self.sharding, budget)
+        self.table_admission = TableAdmission(
+            context, changes, self.pools, self.demand, self.load_statistics, self.capacity
+        )
+        self.sharding = ShuffleSharding(
+            context, self.pools, self.zone_capacity, self.table_admission
+        )
+        self.writer = TableWriter(context, changes, self.sharding, self.table_admission, budget)
         self.assignment = TableAssignment(
             context, self.pools, self.report_round, self.writer, budget
         )
         self.staged_updates = StagedUpdates(context, changes, self.writer, budget)
         self.withdrawals = Withdrawals(context, self.pools, self.sharding, self.assignment, budget)
-        self.removals = Removals(
-            context, changes, self.sharding, self.writer, self.assignment, budget
-        )
+        self.removals = Removals(context, changes, self.writer, self.assignment, budget)
 
     def _build_evaluation(self) -> None:
         """Create the mechanisms that act on reports: admission, slow start, relief, ejection."""
@@ -118,7 +124,12 @@
         self.fleet_load = FleetLoad(context, self.demand)
         self.load_shedding = LoadShedding(context, self.fleet_load, self.budget)
         self.class_admission = ClassAdmission(
-            context, self.demand, self.fleet_load, self.load_shedding, self.budget
+            context,
+            self.demand,
+            self.fleet_load,
+            self.load_shedding,
+            self.table_admission,
+            self.budget,
         )
         self.slow_start = SlowStart(context, changes, schedule, self.fleet_load)
         self.load_relief = LoadRelief(context, changes, schedule)
@@ -144,6 +155,7 @@
             if handler is not None:
                 handler(event)
         self.zone_capacity.update_if_due()
+        self.table_admission.update_if_due()
         self.assignment.assign_waiting_proxies()
         self.withdrawals.send()
         self.removals.remove_unusable_endpoints()
@@ -190,6 +202,11 @@
         for endpoint in self.schedule.take_due():
             self.advance_endpoint(endpoint)
 
+    def on_endpoint_stats(self, event: interface.EndpointStats) -> None:
+        """Add a report about one endpoint to the statistics and to the estimate of capacity."""
+        if self.load_statistics.on_endpoint_stats(event):
+            self.capacity.on_endpoint_stats(event)
+
     def on_acknowledged(self, event: interface.Acknowledged) -> None:
         """Remove the acknowledged entries from the channel backlog."""
         self.budget.backlog.acknowledge(event.proxy, event.nonce)
@@ -197,6 +214,7 @@
     def end_round(self) -> None:
         """Evaluate paths, endpoints and the fleet from the reports of one round."""
         self.report_round.end()
+        self.capacity.end_round()
         self.demand.end_round()
         self.zone_paths.end_round()
         failing = self.load_statistics.end_round(self.zone_paths.bad_paths)
--- a/peatlead/planner/proxy_state.py
+++ b/peatlead/planner/proxy_state.py
@@ -1,7 +1,9 @@
 """The state of one proxy: its tables, what they were computed from, and its recent messages."""
 
 from collections import deque
+from typing import Optional
 
+from .admission import Admission
 from .endpoint_state import EndpointState
 from .rendezvous import RendezvousPool, proxy_key
 
@@ -19,6 +21,8 @@
         self.first_table = first_table
         # For each group, the published weight of each endpoint in the table, by endpoint id.
         self.entries: list[dict[int, float]] = [{} for _ in range(groups)]
+        # For each group, the published admission of its table; None if the table never had its own.
+        self.admissions: list[Optional[Admission]] = [None] * groups
         self.assigned = False  # whether tables have been assigned since the proxy connected
 
         # Connection.
--- a/peatlead/planner/removals.py
+++ b/peatlead/planner/removals.py
@@ -3,9 +3,9 @@
 from .channel_budget import ChannelBudget
 from .context import PlannerContext
 from .proxy_state import ProxyState
-from .shuffle_sharding import ShuffleSharding
 from .table_assignment import TableAssignment
 from .table_changes import TableChanges
+from .table_weights import is_cold_heavy
 from .table_writer import TableWriter
 
 # While the queue is above this fraction of its maximum length, removals wait for a later batch.
@@ -21,14 +21,12 @@
         self,
         context: PlannerContext,
         changes: TableChanges,
-        sharding: ShuffleSharding,
         writer: TableWriter,
         assignment: TableAssignment,
         budget: ChannelBudget,
     ) -> None:
         self.context = context
         self.changes = changes
-        self.sharding = sharding
         self.writer = writer
         self.assignment = assignment
         self.budget = budget
@@ -76,12 +74,16 @@
             for endpoint in removed:
                 self.writer.set_entry(proxy, group, endpoint, 0.0)
                 proxy.invalidate_tables()
-            if removed and (not entries or self._should_rewrite(entries)):
+            if not removed:
+                continue
+            if not entries or self._should_rewrite(entries):
                 self.writer.write(proxy)
+            else:
+                self.writer.write_admission(proxy, group)
 
     def _should_rewrite(self, entries: dict[int, float]) -> bool:
         """Return whether too much of a table's weight is cold and the channel has room."""
         endpoints = self.context.endpoints
-        return self.budget.has_room() and self.sharding.is_cold_heavy(
+        return self.budget.has_room() and is_cold_heavy(
             [endpoints[endpoint] for endpoint in entries]
         )
--- a/peatlead/planner/request_demand.py
+++ b/peatlead/planner/request_demand.py
@@ -1,11 +1,13 @@
 """The number of requests and the amount of work by request class."""
 
+from collections.abc import Mapping
 from math import fsum
 
 from ..interface import RequestStats
 from .context import PlannerContext
 from .input_bounds import rate_window
 from .proxy_state import ProxyState
+from .statistics import median
 
 ROUND_DECAY = 0.9  # fraction of a class's count that remains after a round
 MIN_REQUESTS = 1e-3  # lower bound of a class's count, since a class may be unused for hours
@@ -13,6 +15,9 @@
 # A report can raise a proxy's rate only towards this multiple of the rate known before.
 MAX_RATE_GROWTH = 16
 MIN_KNOWN_RATE = 1.0  # requests per second, lower bound of the rate that MAX_RATE_GROWTH applies to
+# A rate that a proxy announces counts as at most this multiple of the median until it is reported.
+MAX_ANNOUNCED_FACTOR = 8
+MIN_PROXY_RATE = 0.1  # requests per second, lower bound of a proxy's rate
 MIN_TOTAL_REQUESTS = 100.0  # lower bound of the limit on the count of one report
 
 
@@ -42,6 +47,36 @@
         proxy.request_rate = fsum(proxy.class_rates.values())
         proxy.rate_is_announced = False
 
+    def max_announced_rate(self) -> float:
+        """Return the limit on a rate that only the proxy's announcement tells.
+
+        A single proxy with an impossible rate must not move the tables of all.
+        """
+        median_rate = median([proxy.request_rate for proxy in self.context.connected_proxies])
+        return MAX_ANNOUNCED_FACTOR * max(MIN_KNOWN_RATE, median_rate)
+
+    def rate(
+        self, proxy: ProxyState, request_classes: list[int], max_announced_rate: float
+    ) -> float:
+        """Return a proxy's requests per second of some classes, as a number of mean requests.
+
+        A request counts as its work relative to the mean. Until the proxy's requests are reported,
+        its announced rate is divided among the classes like the requests of all proxies.
+        """
+        rates: Mapping[int, float] = proxy.class_rates
+        if not rates:
+            rate_per_request = total_rate(proxy, max_announced_rate) / fsum(self.requests)
+            rates = {
+                request_class: rate_per_request * self.requests[request_class]
+                for request_class in request_classes
+            }
+        classes = self.context.settings["req_kinds"]
+        work = [
+            rates.get(request_class, 0.0) * classes[request_class]["response_target"]
+            for request_class in request_classes
+        ]
+        return fsum(work) / self.mean_target()
+
     def end_round(self) -> None:
         """Decay the counts."""
         self.requests = [max(MIN_REQUESTS, ROUND_DECAY * count) for count in self.requests]
@@ -60,3 +95,12 @@
     def mean_target(self) -> float:
         """Return the mean response target of all requests, in seconds."""
         return fsum(self.work()) / fsum(self.requests)
+
+
+def total_rate(proxy: ProxyState, max_announced_rate: float) -> float:
+    """Return a proxy's requests per second of all classes.
+
+    A rate that is only announced counts as at most `max_announced_rate`.
+    """
+    max_rate = max_announced_rate if proxy.rate_is_announced else proxy.request_rate
+    return max(MIN_PROXY_RATE, min(proxy.request_rate, max_rate))
--- a/peatlead/planner/shuffle_sharding.py
+++ b/peatlead/planner/shuffle_sharding.py
@@ -14,18 +14,16 @@
 from typing import NamedTuple
 
 from .context import COVERAGE, PICK_LESS_LOADED, PlannerContext
-from .endpoint_pools import EndpointPools, Pools
+from .endpoint_pools import EndpointPools, Pools, Scope
 from .endpoint_state import EndpointState
-from .input_bounds import DEFAULT_WEIGHT
 from .proxy_state import ProxyState
 from .rendezvous import RendezvousPool
-from .statistics import cold_and_warm_weight
+from .table_admission import TableAdmission
+from .table_weights import is_cold_heavy, missing_weight, prefix_of_weight, published_weights
 from .zone_capacity import MIN_DIVISOR, ZoneCapacity
 
 # A shard has at least this many endpoints of each zone with endpoints that the shard may use.
 MIN_ENDPOINTS_PER_ZONE = 1
-# Warm endpoints are added to a table if at least this fraction of the table's weight is cold.
-MAX_COLD_FRACTION = 0.2
 # Maximum number of warm endpoints added to a table, or the table's size if that is larger.
 MAX_ADDED_WARM_ENDPOINTS = 24
 
@@ -37,55 +35,21 @@
     pools: Pools  # by zone: the pools that the endpoints were chosen from
 
 
-def prefix_of_weight(endpoints: list[EndpointState], weight: float) -> list[EndpointState]:
-    """Return the shortest non-empty prefix with this published weight, or all endpoints."""
-    return [
-        endpoint
-        for position, endpoint in enumerate(endpoints)
-        if position == 0
-        or fsum([previous.weight * previous.weight_fraction for previous in endpoints[:position]])
-        < weight
-    ]
-
-
-def missing_weight(members: list[EndpointState], shard_endpoints: list[EndpointState]) -> float:
-    """Return the weight of warm endpoints to add to a table with too much cold weight.
-
-    With the added weight, the table has at least the weight of the whole shard, and its cold
-    endpoints have at most `MAX_COLD_FRACTION` of the table's weight.
-    """
-    cold, warm = cold_and_warm_weight(members)
-    shard_weight = fsum([endpoint.weight for endpoint in shard_endpoints])
-    return max(shard_weight, cold / MAX_COLD_FRACTION) - fsum((cold, warm))
-
-
-def published_weights(members: list[EndpointState]) -> dict[int, float]:
-    """Return the weight of each member with a weight above 0, by endpoint id.
-
-    An entry with weight 0 would be a removal, so the table is not left without entries: if all
-    published weights are 0, the listed weights are used, and equal weights if these are 0 too.
-    """
-    published = {
-        endpoint.id: endpoint.weight * endpoint.weight_fraction
-        for endpoint in members
-        if endpoint.weight and endpoint.weight_fraction
-    }
-    if published:
-        return published
-    listed = {endpoint.id: endpoint.weight for endpoint in members if endpoint.weight}
-    return listed or {endpoint.id: DEFAULT_WEIGHT for endpoint in members}
-
-
 class ShuffleSharding:
     """Computes shards and tables; writes nothing."""
 
     def __init__(
-        self, context: PlannerContext, pools: EndpointPools, zone_capacity: ZoneCapacity
+        self,
+        context: PlannerContext,
+        pools: EndpointPools,
+        zone_capacity: ZoneCapacity,
+        table_admission: TableAdmission,
     ) -> None:
         self.context = context
         self.pools = pools
         self.zone_capacity = zone_capacity
-        self.warm_pools: dict[int, Pools] = {}  # by group, for the current batch
+        self.table_admission = table_admission
+        self.warm_pools: dict[Scope, Pools] = {}  # for the current batch
 
     def end_batch(self) -> None:
         """Discard the pools that are valid for one batch only."""
@@ -154,19 +118,14 @@
         ]
         if len(not_excluding) * 2 >= len(members):
             members = not_excluding
-        if self.is_cold_heavy(members):
+        if is_cold_heavy(members):
             proxy.has_endpoints_outside_shards = True
             members = members + self._warm_endpoints_to_add(proxy, group, members, shard_endpoints)
         if not members:
             # A table must not be empty while any endpoint of its pools is listed as ready.
             proxy.has_endpoints_outside_shards = True
             members = [endpoint for pool in shard.pools.values() for endpoint in pool]
-        return published_weights(members)
-
-    def is_cold_heavy(self, members: list[EndpointState]) -> bool:
-        """Return whether at least `MAX_COLD_FRACTION` of the published weight is cold."""
-        cold, warm = cold_and_warm_weight(members)
-        return bool(MAX_COLD_FRACTION * (cold + warm) <= cold)
+        return published_weights(members, self.table_admission.weight_fractions(proxy, group))
 
     def _warm_endpoints_to_add(
         self,
@@ -184,7 +143,7 @@
         max_count = max(MAX_ADDED_WARM_ENDPOINTS, len(members))
         missing = missing_weight(members, shard_endpoints)
         warm_by_zone = {}
-        for zone, pool in self._warm_pools(group).items():
+        for zone, pool in self._warm_pools(proxy, group).items():
             ranked_endpoints = pool.top(proxy.key, 2 * max_count)
             candidates = [
                 endpoint for endpoint in ranked_endpoints if endpoint.id not in member_ids
@@ -194,13 +153,15 @@
             endpoint for endpoints in warm_by_zone.values() for endpoint in endpoints
         ]
 
-    def _warm_pools(self, group: int) -> Pools:
-        """Return the usable warm endpoints of all zones, cached for the batch.
+    def _warm_pools(self, proxy: ProxyState, group: int) -> Pools:
+        """Return the usable warm endpoints for a proxy's requests of a group, cached for the batch.
 
-        Zones behind bad paths are included.
+        They are those of the proxy's zone for a group that stays in its zone, otherwise those of
+        all zones. Zones behind bad paths are included.
         """
-        if group not in self.warm_pools:
-            self.warm_pools[group] = {
+        scope = self.pools.scope(group, proxy.zone)
+        if scope not in self.warm_pools:
+            self.warm_pools[scope] = {
                 zone: RendezvousPool(
                     [
                         endpoint
@@ -208,6 +169,6 @@
                         if endpoint.usable and endpoint.cold_since is None
                     ]
                 )
-                for zone, pool in self.pools.allowed_pools(group, None).items()
+                for zone, pool in self.pools.allowed_pools(scope.group, scope.zone).items()
             }
-        return self.warm_pools[group]
+        return self.warm_pools[scope]
--- a/peatlead/planner/slow_start.py
+++ b/peatlead/planner/slow_start.py
@@ -19,10 +19,32 @@
 # A cold endpoint is given at most this fraction of the load that would overload it.
 COLD_LOAD_FRACTION = 0.3
 COLD_LOAD_FRACTION_AVOIDING = 0.2  # replaces COLD_LOAD_FRACTION if proxies avoid failing endpoints
+EVEN_GROWTH = 1.0  # exponent of a capacity that grows evenly while an endpoint warms up
 # Possible published fractions. There are few, since each change must be sent to proxies.
 COLD_WEIGHT_FRACTIONS = (0.06, 0.12, 0.18, 0.25, 0.37, 0.5, 0.75, 1.0)
 
 
+def capacity_fraction(
+    context: PlannerContext, endpoint: EndpointState, exponent: float = EVEN_GROWTH
+) -> float:
+    """Return the fraction of its capacity that an endpoint is assumed to have now.
+
+    The settings tell the fraction at the start, and when the endpoint is warm at the latest. How
+    the capacity grows in between is unknown: evenly with an exponent of 1, late with a higher one.
+    """
+    if endpoint.cold_since is None:
+        return 1.0
+    initial_fraction = context.settings["cold_share"]
+    age = (context.now - endpoint.cold_since) / context.settings["warm_after"]
+    grown: float = max(0.0, min(1.0, age)) ** exponent
+    return initial_fraction + (1 - initial_fraction) * grown
+
+
+def published_fraction(limit: float, default: float) -> float:
+    """Return the highest of `COLD_WEIGHT_FRACTIONS` up to a limit, or the default below them."""
+    return max([step for step in COLD_WEIGHT_FRACTIONS if step <= limit], default=default)
+
+
 class SlowStart:
     """Ramps endpoints, and computes the published fraction of each endpoint's weight."""
 
@@ -87,22 +109,11 @@
         avoids_failing = settings.get("fails_to_shun")
         if self.fleet_load.saturated and avoids_failing:
             return 0.0
-        initial_fraction = settings["cold_share"]
-        age = (self.context.now - endpoint.cold_since) / settings["warm_after"]
-        capacity_fraction = initial_fraction + (1 - initial_fraction) * min(1.0, age)
         load_fraction = COLD_LOAD_FRACTION_AVOIDING if avoids_failing else COLD_LOAD_FRACTION
         max_fraction = (
             self.fleet_load.mean_weight_fraction
             * load_fraction
             * settings["tip_multiple"]
-            * capacity_fraction
-        )
-        limit = min(endpoint.ramp_fraction, max_fraction)
-        return max(
-            [
-                weight_fraction
-                for weight_fraction in COLD_WEIGHT_FRACTIONS
-                if weight_fraction <= limit
-            ],
-            default=0.0,
+            * capacity_fraction(self.context, endpoint)
         )
+        return published_fraction(min(endpoint.ramp_fraction, max_fraction), 0.0)
--- a/peatlead/planner/table_changes.py
+++ b/peatlead/planner/table_changes.py
@@ -18,7 +18,8 @@
         self.pending_proxies: set[int] = set()  # numbers of proxies whose tables may differ
         self.all_pending = False  # whether the tables of all proxies may differ
         self.removals_pending = False  # whether tables may name an unusable endpoint
-        # Whether a published weight has decreased; changed tables then do not wait for a stage.
+        # Whether a published weight or admitted fraction has decreased; changed tables then do not
+        # wait for a stage.
         self.weight_decrease_pending = False
 
     def mark_all_changed(self) -> None:
--- a/peatlead/planner/table_writer.py
+++ b/peatlead/planner/table_writer.py
@@ -1,10 +1,11 @@
 """Writes the differences between the tables that a proxy holds and its newly computed tables."""
 
-from ..interface import SetEntry
+from ..interface import SetAdmission, SetEntry
 from .channel_budget import ChannelBudget
 from .context import PlannerContext
 from .proxy_state import ProxyState
 from .shuffle_sharding import ShuffleSharding
+from .table_admission import TableAdmission
 from .table_changes import TableChanges
 
 
@@ -16,17 +17,24 @@
         context: PlannerContext,
         changes: TableChanges,
         sharding: ShuffleSharding,
+        table_admission: TableAdmission,
         budget: ChannelBudget,
     ) -> None:
         self.context = context
         self.changes = changes
         self.sharding = sharding
+        self.table_admission = table_admission
         self.budget = budget
 
     def write(self, proxy: ProxyState) -> None:
-        """Compute all tables of a proxy, if they may have changed, and write the differences."""
+        """Compute all tables of a proxy, if they may have changed, and write the differences.
+
+        Their admissions are written even if the tables are unchanged.
+        """
         changes = self.changes
         changes.pending_proxies.discard(proxy.number)
+        for group in range(len(proxy.entries)):
+            self.write_admission(proxy, group)
         if self._is_current(proxy):
             return
         proxy.source_endpoints = {}
@@ -50,6 +58,17 @@
             )
         )
 
+    def write_admission(self, proxy: ProxyState, group: int) -> None:
+        """Write the admission of one table if it has changed."""
+        admission = self.table_admission.admission(proxy, group)
+        if admission is None or admission == proxy.admissions[group]:
+            return
+        proxy.admissions[group] = admission
+        classes = tuple(self.table_admission.pools.groups[group].request_classes)
+        self.context.commands.append(SetAdmission(proxy.first_table + group, classes, *admission))
+        if proxy.assigned:
+            self.budget.spend(proxy, 1)
+
     def set_entry(self, proxy: ProxyState, group: int, endpoint: int, weight: float) -> None:
         """Set one entry; weight 0 removes it."""
         context = self.context
--- a/peatlead/planner/zone_capacity.py
+++ b/peatlead/planner/zone_capacity.py
@@ -11,17 +11,13 @@
 from .context import COVERAGE, PICK_LESS_LOADED, PlannerContext
 from .endpoint_pools import EndpointPools
 from .endpoint_state import EndpointState
-from .request_demand import MIN_KNOWN_RATE, RequestDemand
-from .statistics import median
+from .request_demand import RequestDemand, total_rate
 from .table_changes import TableChanges
 
 PLAN_INTERVAL = 2.0  # seconds between two computations of the plan
 # A new plan is used if a density changes by more than this fraction of the highest density.
 MIN_PLAN_CHANGE = 0.15
 MIN_CROSSING_PRICE = 0.02  # fraction of a request's gain; no plan is needed below this price
-# A rate that a proxy announces counts as at most this multiple of the median until it is reported.
-MAX_ANNOUNCED_FACTOR = 8
-MIN_PROXY_RATE = 0.1  # requests per second, lower bound of a proxy's rate in the plan
 MIN_SPARE_FRACTION = 1e-6  # of a zone's capacity, prevents a division by zero
 MIN_DIVISOR = 1e-9  # prevents a division by zero
 
@@ -123,10 +119,9 @@
         """
         context = self.context
         rates: dict[int, float] = {}
-        max_announced_rate = self._max_announced_rate()
+        max_announced_rate = self.demand.max_announced_rate()
         for proxy in context.connected_proxies:
-            max_rate = max_announced_rate if proxy.rate_is_announced else proxy.request_rate
-            rate = max(MIN_PROXY_RATE, min(proxy.request_rate, max_rate))
+            rate = total_rate(proxy, max_announced_rate)
             rates[proxy.zone] = rates.get(proxy.zone, 0.0) + rate
         own_count = len(context.connected)
         unseen_endpoint_zones = [
@@ -142,14 +137,6 @@
             rates[zone] = rates.get(zone, 0.0) + rate_per_endpoint
         return rates
 
-    def _max_announced_rate(self) -> float:
-        """Return the limit on a rate that only the proxy's announcement tells.
-
-        A single proxy with an impossible rate must not move the tables of all.
-        """
-        median_rate = median([proxy.request_rate for proxy in self.context.connected_proxies])
-        return MAX_ANNOUNCED_FACTOR * max(MIN_KNOWN_RATE, median_rate)
-
     def _balanced_load(
         self, usable: list[EndpointState], rates: dict[int, float]
     ) -> dict[int, float]:
--- a/peatlead/platform/push.py
+++ b/peatlead/platform/push.py
@@ -75,7 +75,7 @@
         """
         table_by_class: dict[int, int] = publisher.assigned_tables.get(proxy, {})
         whole_tables = {table for key, table in operations.items() if key[0] == ASSIGNMENT}
-        admissions = classes_by_admission(publisher, table_by_class, whole_tables, operations)
+        admissions = classes_by_admission(publisher, proxy, whole_tables, operations)
         entries = self.entries_by_table(whole_tables, operations)
         classes_by_table: dict[int, list[int]] = {}
         for request_class, table in sorted(table_by_class.items()):
@@ -118,7 +118,7 @@
 
 def classes_by_admission(
     publisher: Publisher,
-    table_by_class: dict[int, int],
+    proxy: int,
     whole_tables: Set[int],
     operations: Operations,
 ) -> dict[Admission, list[int]]:
@@ -128,9 +128,10 @@
     such admissions are sent again.
     """
     admission_by_class = {key[1]: value for key, value in operations.items() if key[0] == ADMISSION}
-    for request_class, table in table_by_class.items():
-        if table in whole_tables and request_class in publisher.admissions:
-            admission_by_class[request_class] = publisher.admissions[request_class]
+    for request_class, table in publisher.assigned_tables.get(proxy, {}).items():
+        admission = publisher.admission(proxy, request_class)
+        if table in whole_tables and admission is not None:
+            admission_by_class[request_class] = admission
     classes_of_admission: dict[Admission, list[int]] = {}
     for request_class, admission in sorted(admission_by_class.items()):
         classes_of_admission.setdefault(Admission(*admission), []).append(request_class)
--- a/tests/controller/test_publisher.py
+++ b/tests/controller/test_publisher.py
@@ -37,3 +37,34 @@
         self.assertEqual(
             publisher.route([interface.RequestAcknowledgement(8, True)])[1], {1: [8], 2: [8]}
         )
+
+    def test_the_lower_of_the_fractions_of_class_and_table_is_in_force(self):
+        # Cold endpoints would otherwise get all requests of their table.
+        publisher = Publisher()
+        publisher.join(0, enforces_admission=True)
+        publisher.join(1, enforces_admission=True)
+        publisher.route([interface.SetAdmission(None, (0, 1), 0.9, "unstarted")])
+        publisher.route([interface.AssignTable(0, 5, (0,)), interface.AssignTable(1, 6, (0, 1))])
+        table_admission = interface.SetAdmission(5, (0,), 0.1, "never")
+        messages, _, local_commands = publisher.route([table_admission])
+        self.assertEqual(messages, {0: {("level", 0): (0.1, "never")}})
+        self.assertEqual(local_commands, [])  # endpoints enforce only those of all tables
+        class_admission = interface.SetAdmission(None, (0,), 0.05, "unstarted")
+        messages, _, local_commands = publisher.route([class_admission])
+        self.assertEqual(messages[0], {("level", 0): (0.05, "never")})
+        self.assertEqual(messages[1], {("level", 0): (0.05, "unstarted")})
+        self.assertEqual(local_commands, [class_admission])
+
+    def test_a_table_that_is_assigned_brings_its_own_fraction(self):
+        publisher = Publisher()
+        publisher.join(0, enforces_admission=True)
+        publisher.route([interface.SetAdmission(None, (0,), 1.0, "unstarted")])
+        messages, _, _ = publisher.route(
+            [
+                interface.SetEntry(5, 9, 0.06),
+                interface.SetAdmission(5, (0,), 0.1, "unstarted"),
+                interface.AssignTable(0, 5, (0,)),
+            ]
+        )
+        self.assertEqual(messages[0]["level", 0], (0.1, "unstarted"))
+        self.assertEqual(publisher.admission(0, 0), (0.1, "unstarted"))
--- a/tests/planner/test_shuffle_sharding.py
+++ b/tests/planner/test_shuffle_sharding.py
@@ -3,7 +3,7 @@
 import unittest
 
 from peatlead import interface
-from peatlead.planner.shuffle_sharding import prefix_of_weight
+from peatlead.planner.table_weights import is_cold_heavy, prefix_of_weight
 from tests.helpers import SETTINGS, make_endpoint, make_planner, of_type, zones_of
 
 
@@ -82,8 +82,8 @@
         endpoints = list(planner.endpoints.values())
         endpoints[0].cold_since = 100.0
         endpoints[0].weight_fraction = 0.37
-        self.assertTrue(planner.sharding.is_cold_heavy(endpoints[:2]))
-        self.assertFalse(planner.sharding.is_cold_heavy(endpoints[:4]))
+        self.assertTrue(is_cold_heavy(endpoints[:2]))
+        self.assertFalse(is_cold_heavy(endpoints[:4]))
 
     def test_proxies_whose_numbers_are_hashes_of_names_get_tables(self):
         planner = make_planner()
@@ -95,3 +95,20 @@
         for weight, count in ((-1.0, 1), (0.0, 1), (1.0, 1), (1.5, 2), (3.0, 3), (99.0, 8)):
             self.assertEqual(len(prefix_of_weight(endpoints, weight)), count)
         self.assertEqual(prefix_of_weight([], 1.0), [])
+
+    def test_warm_endpoints_of_the_zone_join_a_cold_table_of_a_class_that_stays_in_it(self):
+        # They were looked for in all zones, of which such a class may use none.
+        classes = [{**request_class, "own_zone": True} for request_class in SETTINGS["req_kinds"]]
+        planner = make_planner(
+            endpoints=40, proxies=200, channel_rate=1e6, queue_most=1e6, req_kinds=classes
+        )
+        proxy = planner.proxies[0]
+        planner.context.expected_proxies = 200.0
+        shard = {endpoint.id for endpoint in planner.sharding.shard(proxy, 0).endpoints_by_zone[0]}
+        self.assertLess(len(shard), 20)
+        for number in shard:
+            planner.endpoints[number].cold_since = 100.0
+            planner.endpoints[number].weight_fraction = 0.06
+        warm = planner.sharding.table(proxy, 0).keys() - shard
+        self.assertTrue(warm)
+        self.assertEqual({planner.endpoints[number].zone for number in warm}, {0})
--- a/tests/platform/test_push.py
+++ b/tests/platform/test_push.py
@@ -9,6 +9,7 @@
 
 from ..helpers import SETTINGS
 from ..platforms import (
+    UNIX_TIME,
     instance,
     removed_endpoints,
     run_with_platform,
@@ -59,6 +60,42 @@
 
 
 class Ejections(unittest.TestCase):
+    def test_a_table_of_cold_endpoints_comes_in_one_message_with_its_fraction(self):
+        # Between an entry and a later fraction, the endpoint would get all requests.
+        async def case(platform):
+            proxy = await platform.connect_proxy_with_table()
+            platform.discovery.publish(instance(0, lifecycle="left"), instance(2, lifecycle="left"))
+            await until(lambda: removed_endpoints(proxy) == {"s-0", "s-2"})
+            seen = len(proxy.messages)
+            platform.discovery.publish(instance(9, started=1000 * (UNIX_TIME - 1.0)))
+            await until(
+                lambda: any(
+                    "s-9" in dict(part.get("endpoints", ())) and part["routes"] == ["pay"]
+                    for part in proxy.messages[seen:]
+                )
+                and not proxy.messages[-1].get("continued")
+            )
+            return proxy.messages[seen:]
+
+        request_classes = [
+            {**request_class, "own_zone": request_class["name"] == "pay"}
+            for request_class in SETTINGS["req_kinds"]
+        ]
+        parts = run_with_platform(case, req_kinds=request_classes)
+        entry = next(
+            position for position, part in enumerate(parts) if "s-9" in dict(part["endpoints"])
+        )
+        end = next(
+            position
+            for position, part in enumerate(parts)
+            if position >= entry and not part.get("continued")
+        )
+        fractions = {
+            tuple(part["routes"]): part["admit"] for part in parts[: end + 1] if "admit" in part
+        }
+        self.assertLess(fractions["pay",], 0.5)
+        self.assertNotIn(("read",), fractions)
+
     def test_a_proxy_with_a_table_receives_a_removal_for_a_drain_and_an_entry_for_the_return(self):
         # An additional ejection would cost the channel one more entry per proxy and endpoint.
         async def case(platform):
--- a/tests/wire/test_translators.py
+++ b/tests/wire/test_translators.py
@@ -33,3 +33,11 @@
         record = CommandTranslator(9, endpoint_ids).translate(interface.CheckHealth(0))
         self.assertIsInstance(record, reply_records.Test)
         self.assertEqual(record, reply_records.Test(instance=9, address=ADDRESS))
+
+    def test_an_admission_names_its_table_or_all_tables(self):
+        translator = CommandTranslator(9, EndpointIds())
+        for table, number in ((5, 5), (None, 65535)):
+            command = interface.SetAdmission(table, (0, 2), 0.125, "unstarted")
+            self.assertEqual(
+                translator.translate(command), reply_records.GateClass(9, 0b101, number, 0.125, 1)
+            )
