Planner: a limited table sends its requests to cold endpoints, not to the silent ones

Change: in a limited table silent endpoints keep a hundredth of their weight until they are ejected or answer. The requests that cold endpoints may get are counted as if proxies avoided the silent ones, as before.

--- a/peatlead/planner/table_admission.py
+++ b/peatlead/planner/table_admission.py
@@ -61,13 +61,14 @@
 # and has not answered an attempt for as many reporting cycles.
 SILENT_CHECKS = 2
 SILENT_CYCLES = 1.3
+SILENT_WEIGHT_FRACTION = 0.01  # of the weight of such an endpoint beside cold ones
 
 
 class ScopeLimit(NamedTuple):
     """What is published for the tables of a scope."""
 
     fraction: float  # admitted
-    # By id: fractions of the listed weights of cold endpoints, where these are not the usual ones.
+    # By id: fractions of the listed weights, where these are not the usual ones.
     weight_fractions: dict[int, float]
 
 
@@ -75,20 +76,21 @@
 
 
 class ScopeEndpoints(NamedTuple):
-    """The endpoints of a scope that serve."""
+    """The endpoints that the tables of a scope name."""
 
     cold: list[EndpointState]
     warm: list[EndpointState]
+    silent: list[EndpointState]  # warm ones that proxies avoid
 
     @property
-    def all(self) -> list[EndpointState]:
-        """The cold and the warm endpoints."""
+    def serving(self) -> list[EndpointState]:
+        """The endpoints that answer."""
         return self.cold + self.warm
 
     @property
     def cold_heavy(self) -> bool:
-        """Whether the cold endpoints have a large part of the usual weight."""
-        return bool(self.cold) and is_cold_heavy(self.all)
+        """Whether the cold endpoints have a large part of the usual weight of those that answer."""
+        return bool(self.cold) and is_cold_heavy(self.serving)
 
 
 class ScopeLoad(NamedTuple):
@@ -215,7 +217,7 @@
         loads = {scope: self._load(scope, found) for scope, found in endpoints.items()}
         requests_per_weight: dict[int, float] = {}  # by zone of the endpoints, of all scopes
         for load in loads.values():
-            for zone in {endpoint.zone: 0 for endpoint in load.endpoints.all}:
+            for zone in {endpoint.zone: 0 for endpoint in load.endpoints.serving}:
                 requests_per_weight[zone] = (
                     requests_per_weight.get(zone, 0.0) + load.requests_per_weight
                 )
@@ -238,31 +240,50 @@
         return list(dict.fromkeys(scopes))
 
     def _endpoints(self, scope: Scope) -> ScopeEndpoints:
-        """Return the endpoints of a scope that serve.
+        """Return the endpoints that the tables of a scope name.
 
-        Without any usable endpoint, tables name all that are ready.
+        These are the usable ones, or all that are ready if none is usable. Proxies avoid silent
+        endpoints, and send the requests that stay in a zone to the others in the zone. Other
+        requests have the warm endpoints of all zones, which are not all silent.
         """
         pools = self.pools.allowed_pools(scope.group, scope.zone)
         listed = [endpoint for pool in pools.values() for endpoint in pool]
-        members = [endpoint for endpoint in listed if endpoint.usable] or listed
-        cold = [endpoint for endpoint in members if endpoint.cold_since is not None]
-        return ScopeEndpoints(cold, self._serving_warm_endpoints(scope, members))
+        found = ScopeEndpoints([], [], [])
+        for endpoint in [endpoint for endpoint in listed if endpoint.usable] or listed:
+            if endpoint.cold_since is not None:
+                found.cold.append(endpoint)
+            elif scope.zone is not None and self._is_silent(endpoint):
+                found.silent.append(endpoint)
+            else:
+                found.warm.append(endpoint)
+        return found
 
     def _load(self, scope: Scope, endpoints: ScopeEndpoints) -> ScopeLoad:
         """Return the published weights of a scope, and its requests per unit of weight."""
         requests = self._requests(scope)
         weight_fractions: dict[int, float] = {}
-        weights = published_weights(endpoints.all, weight_fractions)
+        weights = published_weights(endpoints.serving, weight_fractions)
         if endpoints.cold_heavy and (
             not endpoints.warm or self._is_scarce(scope, weights, requests)
         ):
-            weight_fractions = {
-                endpoint.id: self._capacity_step(endpoint) for endpoint in endpoints.cold
-            }
-            weights = published_weights(endpoints.all, weight_fractions)
+            weight_fractions = self._weight_fractions(endpoints)
+            weights = published_weights(endpoints.serving, weight_fractions)
         requests_per_weight = requests / max(MIN_DIVISOR, fsum(weights.values()))
         return ScopeLoad(endpoints, weight_fractions, weights, requests_per_weight)
 
+    def _weight_fractions(self, endpoints: ScopeEndpoints) -> dict[int, float]:
+        """Return the fractions of weights that divide requests by capacity.
+
+        Silent endpoints keep a small weight, which shows when they answer again.
+        """
+        fractions = dict.fromkeys(
+            [endpoint.id for endpoint in endpoints.silent], SILENT_WEIGHT_FRACTION
+        )
+        for endpoint in endpoints.cold:
+            capacity = capacity_fraction(self.context, endpoint, WARM_UP_EXPONENT)
+            fractions[endpoint.id] = published_fraction(capacity, COLD_WEIGHT_FRACTIONS[0])
+        return fractions
+
     def _is_scarce(self, scope: Scope, weights: dict[int, float], requests: float) -> bool:
         """Return whether the endpoints of a zone lack capacity at their usual weights."""
         if scope.zone is None:
@@ -270,20 +291,6 @@
         capacity = self.capacity.per_weight(scope.zone) * fsum(weights.values())
         return requests > SCARCE_UTILIZATION * capacity
 
-    def _serving_warm_endpoints(
-        self, scope: Scope, members: list[EndpointState]
-    ) -> list[EndpointState]:
-        """Return the warm endpoints of a scope that proxies use.
-
-        Proxies avoid silent endpoints, and send the requests that stay in a zone to the others in
-        the zone. Other requests have the warm endpoints of all zones, which are not all silent.
-        """
-        return [
-            endpoint
-            for endpoint in members
-            if endpoint.cold_since is None and (scope.zone is None or not self._is_silent(endpoint))
-        ]
-
     def _is_silent(self, endpoint: EndpointState) -> bool:
         """Return whether an endpoint is ejected, or has failed without an answer for some time."""
         fails = endpoint.failed_checks >= SILENT_CHECKS or endpoint.errors >= MIN_COUNT
@@ -299,11 +306,6 @@
             [self.demand.rate(proxy, classes, max_announced_rate) for proxy in self._proxies(scope)]
         )
 
-    def _capacity_step(self, endpoint: EndpointState) -> float:
-        """Return the fraction of an endpoint's weight that corresponds to its capacity."""
-        capacity = capacity_fraction(self.context, endpoint, WARM_UP_EXPONENT)
-        return published_fraction(capacity, COLD_WEIGHT_FRACTIONS[0])
-
     def _fraction(self, load: ScopeLoad, requests_per_weight: dict[int, float]) -> float:
         """Return the fraction of a scope's requests that its endpoints can serve.
 
@@ -314,7 +316,7 @@
         if load.weight_fractions:
             utilization = MIXED_UTILIZATION if load.endpoints.warm else COLD_UTILIZATION
             return utilization * self._serving_ratio(
-                load.endpoints.all, load, requests_per_weight, WARM_UP_EXPONENT
+                load.endpoints.serving, load, requests_per_weight, WARM_UP_EXPONENT
             )
         utilization = MIXED_LOAD_FRACTION * self.context.settings["tip_multiple"]
         own_requests = dict.fromkeys(requests_per_weight, load.requests_per_weight)
