Stand-ins: one place for the outcome and gain of a request

Change: standin/request_outcome.py has the request class, the outcomes and request_result; both clients call it. Nothing of the deployed program.

--- a/peatlead/standin/dns_clients.py
+++ b/peatlead/standin/dns_clients.py
@@ -21,6 +21,7 @@
 from ..net.http import RequestFailedError, connect
 from ..net.http.client import ClientConnection
 from ..net.streams import with_timeout
+from .request_outcome import OUTCOME_BY_STATUS, Outcome, RequestClass, request_result
 from .resolvers import Resolver
 
 LOOKUP_TIMEOUT = 1.5  # seconds
@@ -33,19 +34,6 @@
 ATTEMPT_TIME_FRACTION = (0.5, 1.0)
 
 
-class Outcome(StrEnum):
-    """Recorded outcomes of requests and attempts, in addition to net.http's RequestOutcome."""
-
-    DONE = "done"
-    LATE = "late"
-    SHED = "shed"
-    DENIED = "denied"  # refused before it ran
-    ERRORED = "errored"
-    UNRESOLVED = "unresolved"
-    UNREACHABLE = "unreachable"
-    SENT = "sent"  # the attempt has started
-
-
 class Habit(StrEnum):
     """How a client orders the addresses of an answer.
 
@@ -58,24 +46,6 @@
     HOLDS = "holds"  # like SAME, but without a lookup while a connection is open
 
 
-OUTCOME_BY_STATUS = {
-    200: Outcome.DONE.value,
-    429: Outcome.SHED.value,
-    503: Outcome.DENIED.value,
-}
-
-
-class RequestClass(msgspec.Struct):
-    """A request class; times are in seconds, and `repeat` is its repeat semantics."""
-
-    name: str
-    share: float  # weight of the class when the class of a request is drawn
-    response_target: float
-    client_timeout: float
-    gain: float  # value of a request that is done in time
-    repeat: str
-
-
 class ClientSitePlan(msgspec.Struct):
     """The clients of one view.
 
@@ -240,25 +210,19 @@
 
     def _record_request(self, request: Request, outcome: str, attempts: int) -> None:
         now = self.loop.time()
-        request_class = request.request_class
-        late = now - request.due > request_class.response_target
-        gain = 0.0
-        if outcome == Outcome.DONE and now <= request.deadline:
-            gain = request_class.gain * (self.plan.late_gain if late else 1.0)
-        if outcome == Outcome.DONE and late:
-            outcome = Outcome.LATE.value
+        result = request_result(request, outcome, now, self.plan.late_gain)
         self.recorder.write_row(
             "req",
             now,
             request.id,
-            request_class.name,
+            request.request_class.name,
             self.plan.view,
             self.resolver.kind,
             request.client.habit,
-            outcome,
+            result.outcome,
             request.due,
             attempts,
-            gain,
+            result.gain,
         )
 
     async def _attempt(
--- a/peatlead/standin/proxy_plan.py
+++ b/peatlead/standin/proxy_plan.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from .dns_clients import RequestClass
+from .request_outcome import RequestClass
 
 TWO_CHOICES = "lighter of two"  # of two random endpoints, the one with fewer requests in flight
 
--- a/peatlead/standin/proxy_requests.py
+++ b/peatlead/standin/proxy_requests.py
@@ -10,9 +10,9 @@
 from ..invariants.record import Recorder
 from ..net.http import RequestFailedError, connect
 from ..net.http.client import ClientConnection, Response
-from .dns_clients import OUTCOME_BY_STATUS, Outcome, RequestClass
 from .proxy_plan import TWO_CHOICES, ProxyPlan
 from .proxy_stats import EndpointTally, LoadStats
+from .request_outcome import OUTCOME_BY_STATUS, Outcome, RequestClass, request_result
 
 CONNECT_TIMEOUT = 0.7  # seconds
 ATTEMPT_TIME_FRACTION = 0.6  # of the remaining time, for all attempts except the last
@@ -110,25 +110,19 @@
 
     def _record_request(self, request: ProxyRequest, outcome: str, attempts: int) -> None:
         now = self.loop.time()
-        request_class = request.request_class
-        late = now - request.due > request_class.response_target
-        gain = 0.0
-        if outcome == Outcome.DONE and now <= request.deadline:
-            gain = request_class.gain * (self.plan.late_gain if late else 1.0)
-        if outcome == Outcome.DONE and late:
-            outcome = Outcome.LATE.value
+        result = request_result(request, outcome, now, self.plan.late_gain)
         self.recorder.write_row(
             "req",
             now,
             request.id,
-            request_class.name,
+            request.request_class.name,
             self.plan.name,
             PROXY_RESOLVER,
             self.plan.pick,
-            outcome,
+            result.outcome,
             request.due,
             attempts,
-            gain,
+            result.gain,
         )
 
     def _choose_entry(
--- a/tests/compatibility/test_mixed_fleet.py
+++ b/tests/compatibility/test_mixed_fleet.py
@@ -22,7 +22,7 @@
 from pathlib import Path
 
 from peatlead.controller.control_socket import ask_once
-from peatlead.standin.dns_clients import RequestClass
+from peatlead.standin.request_outcome import RequestClass
 from peatlead.standin.xds_proxies import ProxyPlan, StandInProxy
 from tests.standin_fleet import SCRIPT, MemoryRecorder, run_with_standins, until
 
--- a/tests/grpc/simulated_fleet.py
+++ b/tests/grpc/simulated_fleet.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from peatlead.grpc.resources import WeightedEndpoint
-from peatlead.standin.dns_clients import RequestClass
+from peatlead.standin.request_outcome import RequestClass
 from peatlead.standin.xds_proxies import ProxyPlan, StandInProxy
 
 from ..standin_fleet import SCRIPT, MemoryRecorder, run_with_standins
