--- a/review/7/case.py
+++ b/review/7/case.py
@@ -22,11 +22,11 @@
 HOSTS = 30
 PROXIES = 400
 LOST = 5.0  # seconds that the zone is lost
-NOTICE = 1.5  # seconds until discovery tells that its hosts have left
+NOTICE = 0.6  # seconds until discovery tells that its hosts have left
 SLACK = 0.3  # seconds that the pages add to the limit
 REDIAL = (0.32, 2.1)  # seconds until a proxy whose stream broke dials again
 REHOME = (0.0, 15.0)  # seconds until it goes back to its own controller
-ADDED = 1.5  # seconds until discovery lists a host that has started
+ADDED = 2.4  # seconds until discovery lists a host that has started
 
 
 def settings() -> dict[str, Any]:
@@ -39,7 +39,7 @@
 async def restart(day: Deployment, rank: int) -> None:
     """Restart a controller as planned: SIGTERM, and the list that it last had."""
     known = day.agents[rank].last_told()
-    day.end_controller(rank, signal.SIGTERM)
+    await day.end_controller(rank, signal.SIGTERM)
     await asyncio.sleep(0.3)
     day.start_controller(rank, known)
     await day.ready(rank)
@@ -68,7 +68,7 @@
 
 async def restart_all(day: Deployment) -> None:
     """Restart the controllers, one at a time."""
-    await asyncio.sleep(0.8)
+    await asyncio.sleep(0.3)
     await restart(day, 1)
     await asyncio.sleep(0.5)
     await restart(day, 0)
--- a/review/common2/fleet_standin.py
+++ b/review/common2/fleet_standin.py
@@ -317,6 +317,7 @@
         self.agents = [Discovery(self.record, f"n{rank}") for rank in range(count)]
         self.processes: list[Optional[subprocess.Popen[bytes]]] = [None] * count
         self.starts = [0] * count
+        self.planned_ends = [0] * count  # by SIGTERM
         self.channels = [
             Channel(self.family["channelRate"], self.family["perMessage"]) for _ in range(count)
         ]
@@ -397,20 +398,23 @@
         known_names = [entry["instanceId"] for entry in known["instances"]]
         self.record("controller started", name=name, known=known_names)
 
-    def end_controller(self, rank: int, signal_number: int) -> None:
+    async def end_controller(self, rank: int, signal_number: int) -> None:
         """End a controller by a signal, and kill it if it needs longer than the pages allow."""
         process = self.processes[rank]
         self.processes[rank] = None
         if process is None:
             return
+        self.planned_ends[rank] += signal_number == signal.SIGTERM
         process.send_signal(signal_number)
-        try:
-            code = process.wait(1.0)
-        except subprocess.TimeoutExpired:
-            process.kill()
-            code = process.wait()
+        deadline = time.monotonic() + 1.0
+        while process.poll() is None:
+            if time.monotonic() > deadline:
+                process.kill()
+            await asyncio.sleep(0.01)
         self.channels[rank].queue.clear()
-        self.record("controller ended", name=f"n{rank}", signal=signal_number, code=code)
+        self.record(
+            "controller ended", name=f"n{rank}", signal=signal_number, code=process.returncode
+        )
 
     async def ready(self, rank: int) -> float:
         """Wait until a controller answers a probe, and return the time."""
@@ -440,7 +444,8 @@
     ) -> None:
         """Keep a proxy joined: to its home, or to another controller if need be.
 
-        With `rehome`, it goes back after some seconds with another controller.
+        It moves elsewhere from a controller that gets SIGTERM. With `rehome`, it goes back after
+        some seconds with another controller.
         """
         rank = proxy.home
         while True:
@@ -450,20 +455,20 @@
                 rank = (rank + 1) % len(self.listen)
                 await asyncio.sleep(0.1)
                 continue
+            planned_ends = self.planned_ends[rank]
+            away = rehome if rank != proxy.home else None
             try:
-                away = rank != proxy.home and rehome is not None
-                async with asyncio.timeout(self.rng.uniform(*rehome) if away else None):
+                async with asyncio.timeout(self.rng.uniform(*away) if away else None):
                     await self.use_stream(proxy, rank, reader, writer)
-                rank = proxy.home
-            except TimeoutError:
-                rank = proxy.home
-            except (OSError, asyncio.IncompleteReadError):
+            except (OSError, TimeoutError, asyncio.IncompleteReadError):
                 pass
             if proxy.stream is not None:
                 proxy.stream.open = False
             proxy.stream = None
             self.record("proxy left", proxy=proxy.number, controller=f"n{rank}")
             writer.close()
+            moves = self.planned_ends[rank] != planned_ends
+            rank = (rank + 1) % len(self.listen) if moves else proxy.home
             await asyncio.sleep(self.rng.uniform(*redial))
 
     async def use_stream(
@@ -659,7 +664,7 @@
     async def close(self) -> None:
         """End all processes, tasks and listeners."""
         for rank in range(len(self.processes)):
-            self.end_controller(rank, signal.SIGKILL)
+            await self.end_controller(rank, signal.SIGKILL)
         for task in list(self.tasks):
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
