--- a/review/common2/fleet_standin.py
+++ b/review/common2/fleet_standin.py
@@ -256,6 +256,8 @@
         self.stream: Optional[Stream] = None
         self.joined_at = 0.0
         self.joined_to = 0
+        # Since when a controller that ends or declines its streams is answerable for it.
+        self.held_since: Optional[float] = None
         self.written: list[tuple[float, int]] = []  # arrival of messages since joining, lines
         self.busy_until = 0.0  # when its last message is applied
 
@@ -321,6 +323,7 @@
         self.channels = [
             Channel(self.family["channelRate"], self.family["perMessage"]) for _ in range(count)
         ]
+        self.sockets = 512  # descriptors that a controller may hold
         self.proxies: list[Proxy] = []
         # By controller, zone and host: tries and failures of the proxies that are joined.
         self.met: dict[tuple[int, str, str], list[int]] = {}
@@ -373,7 +376,7 @@
             "listen": listen,
             "discovery": discovery,
             "seed": f"{self.seed * 1000 + 10 * rank + self.starts[rank]:x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": known,
             "settings": {**self.settings, "rank": rank, "locality": rank % len(self.zones)},
         }
@@ -457,11 +460,17 @@
                 continue
             planned_ends = self.planned_ends[rank]
             away = rehome if rank != proxy.home else None
+            goes_home = False
             try:
                 async with asyncio.timeout(self.rng.uniform(*away) if away else None):
                     await self.use_stream(proxy, rank, reader, writer)
-            except (OSError, TimeoutError, asyncio.IncompleteReadError):
+            except TimeoutError:
+                goes_home = True
+            except (OSError, asyncio.IncompleteReadError):
                 pass
+            process = self.processes[rank]
+            declined = not goes_home and process is not None and process.poll() is None
+            proxy.held_since = proxy.joined_at if declined else None
             if proxy.stream is not None:
                 proxy.stream.open = False
             proxy.stream = None
@@ -479,8 +488,11 @@
         stream.send(
             msg="hello", node=proxy.number, locality=proxy.zone, w=proxy.rate, cold=proxy.cold
         )
+        same = proxy.joined_to == rank and proxy.held_since is not None
+        if not same or proxy.held_since is None:
+            proxy.held_since = time.monotonic()
+        proxy.joined_at, proxy.written = proxy.held_since, []
         proxy.stream, proxy.joined_to = stream, rank
-        proxy.joined_at, proxy.written = time.monotonic(), []
         proxy.busy_until = 0.0
         self.record(
             "proxy joined",
@@ -566,6 +578,7 @@
                 counts = self.met.setdefault((proxy.joined_to, proxy.zone, host), [0, 0])
                 counts[0] += 1
                 counts[1] += host in self.down
+            if proxy.held_since is not None:
                 self.note_send(proxy, host)
         return total
 
