Review cases: a case that can't run or is ended exits with 2

Change: one function runs a case, cancels it on SIGTERM and SIGINT, and gives 2 for anything but its own verdict.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -14,7 +14,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common2"))
 
-from fleet_standin import ACTIVE, Deployment, Proxy  # noqa: E402
+from fleet_standin import ACTIVE, Deployment, Proxy, run_case  # noqa: E402
 from settings import akl_settings  # noqa: E402
 
 HERE = Path(__file__).resolve().parent
@@ -127,4 +127,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    sys.exit(run_case(main))
--- a/review/common2/fleet_standin.py
+++ b/review/common2/fleet_standin.py
@@ -16,7 +16,9 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from collections import deque
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any, Optional
 
@@ -692,3 +694,20 @@
                 self.record.file.write(f"--- log of n{rank}\n{path.read_text()}")
         self.record.file.close()
         shutil.rmtree(self.folder, ignore_errors=True)
+
+
+def run_case(main: Callable[[], Coroutine[Any, Any, int]]) -> int:
+    """Run a case and return its exit code: 2 if it could not run or was ended from outside."""
+
+    async def run() -> int:
+        task = asyncio.current_task()
+        if task is not None:
+            for number in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await main()
+
+    try:
+        return asyncio.run(run())
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        return 2
