--- a/review/common2/fleet_standin.py
+++ b/review/common2/fleet_standin.py
@@ -26,6 +26,7 @@
 Entry = dict[str, Any]  # one entry of discovery's list
 READY_TIMEOUT = 30.0  # seconds, as the pages allow a controller
 ACTIVE = "active"
+BROKEN = 10  # exit code of a case that saw the rule broken; errors of the interpreter give 1
 STEP = 0.1  # seconds between two rounds of requests
 SLACK = 0.3  # seconds that the pages add to the time limits of the rules
 
@@ -697,7 +698,11 @@
 
 
 def run_case(main: Callable[[], Coroutine[Any, Any, int]]) -> int:
-    """Run a case and return its exit code: 2 if it could not run or was ended from outside."""
+    """Run a case and return its exit code.
+
+    `main` returns 1 if the rule was broken, 0 if it held, and 2 if the case could not run. The code
+    is `BROKEN`, 0 or 2; it is 2 also for an exception and if the case is ended from outside.
+    """
 
     async def run() -> int:
         task = asyncio.current_task()
@@ -707,7 +712,8 @@
         return await main()
 
     try:
-        return asyncio.run(run())
+        verdict = asyncio.run(run())
+        return BROKEN if verdict == 1 else verdict
     except (Exception, asyncio.CancelledError):
         traceback.print_exc()
         return 2
