Planner: restore each endpoint of a proxy's tables once on every stream

Cause: a proxy keeps its ejections across streams, whichever controller sent them, and its hello does not tell them. PushComposer restored an endpoint with its first entry only if this process had listed it before (EndpointTracker.possibly_ejected, was_listed_before), and marked every endpoint with an entry as restored for the rest of the stream.

Change: the planner restores each endpoint of a proxy's tables once on each stream (restorations.py, RestoreEndpoints), whatever it knows of the endpoint, since only a restoration on this stream shows that the proxy does not eject it. Each restoration is counted as an entry of the channel. Those of endpoints that this controller withdrew go with their entries, as before; all others wait while the queue is over a quarter of its limit, behind tables and removals, and stay below four fifths of a proxy's message limit. Tracker and session no longer track ejections. Only the platform's protocol asks for it (proxies_keep_ejections); other wires decide as before. Publisher.route dispatches by type.

--- a/peatlead/controller/publisher.py
+++ b/peatlead/controller/publisher.py
@@ -1,7 +1,7 @@
 """Translates the planner's commands into messages for the subscribers."""
 
-from collections.abc import Iterable
-from typing import NamedTuple, Optional
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple, Optional
 
 from .. import interface
 from .message import (
@@ -54,6 +54,16 @@
         self.admissions: dict[int, tuple[float, str]] = {}
         # The same for the tables that have their own, by table and request class.
         self.table_admissions: dict[int, dict[int, tuple[float, str]]] = {}
+        # Methods that apply the commands that concern subscribers, by type of command.
+        self._routes: dict[type, Callable[[RoutedCommands, Any], None]] = {
+            interface.SetEntry: self.route_entry,
+            interface.ClearTable: self.clear_table,
+            interface.AssignTable: self.assign_table,
+            interface.WithdrawEndpoint: self.route_withdrawal,
+            interface.RestoreEndpoints: self.restore_endpoints,
+            interface.RequestAcknowledgement: self.request_acknowledgement,
+            interface.SetAdmission: self.route_admission,
+        }
 
     def join(self, subscriber: int, enforces_admission: bool = False) -> None:
         """Add a subscriber that enforces admission itself, or leaves it to the endpoints."""
@@ -81,28 +91,29 @@
     def route(self, commands: Iterable[interface.Command]) -> RoutedCommands:
         """Apply a batch's commands to the tables, and return the messages that follow."""
         routed = RoutedCommands({}, {}, [])
-        messages = routed.messages
         for command in commands:
-            if isinstance(command, interface.SetEntry):
-                self.set_entry(messages, command.table, command.endpoint, command.weight)
-            elif isinstance(command, interface.ClearTable):
-                for endpoint in list(self.tables.get(command.table, ())):
-                    self.set_entry(messages, command.table, endpoint, 0.0)
-            elif isinstance(command, interface.AssignTable):
-                self.assign_table(messages, command)
-            elif isinstance(command, interface.WithdrawEndpoint):
-                for subscriber in self.subscribers_to_notify(command):
-                    messages.setdefault(subscriber, {})[WITHDRAWN, command.endpoint] = (
-                        command.withdrawn
-                    )
-            elif isinstance(command, interface.RequestAcknowledgement):
-                self.request_acknowledgement(routed, command)
-            elif isinstance(command, interface.SetAdmission):
-                self.route_admission(routed, command)
+            route_command = self._routes.get(type(command))
+            if route_command is not None:
+                route_command(routed, command)
             else:
                 routed.local_commands.append(command)
         return routed
 
+    def route_entry(self, routed: RoutedCommands, command: interface.SetEntry) -> None:
+        """Set an endpoint's weight in a table."""
+        self.set_entry(routed.messages, command.table, command.endpoint, command.weight)
+
+    def clear_table(self, routed: RoutedCommands, command: interface.ClearTable) -> None:
+        """Remove all entries of a table."""
+        for endpoint in list(self.tables.get(command.table, ())):
+            self.set_entry(routed.messages, command.table, endpoint, 0.0)
+
+    def route_withdrawal(self, routed: RoutedCommands, command: interface.WithdrawEndpoint) -> None:
+        """Send a withdrawal or a restoration to the subscribers that it concerns."""
+        for subscriber in self.subscribers_to_notify(command):
+            operations = routed.messages.setdefault(subscriber, {})
+            operations[WITHDRAWN, command.endpoint] = command.withdrawn
+
     def route_admission(self, routed: RoutedCommands, command: interface.SetAdmission) -> None:
         """Send an admission to proxies, and pass that of all tables to the controller itself.
 
@@ -155,6 +166,18 @@
             self.ejected_endpoints[subscriber].add(endpoint)
         return to_notify
 
+    def restore_endpoints(
+        self, routed: RoutedCommands, command: interface.RestoreEndpoints
+    ) -> None:
+        """Send restorations to a proxy, whether or not this controller sent it the withdrawals."""
+        proxy = command.proxy
+        if proxy not in self.joined_subscribers:
+            return
+        for endpoint in command.endpoints:
+            self.ejected_endpoints[proxy].discard(endpoint)
+            self.notified_subscribers.get(endpoint, set()).discard(proxy)
+            set_operation(routed.messages.setdefault(proxy, {}), (WITHDRAWN, endpoint), False)
+
     def set_admission(self, messages: Messages, command: interface.SetAdmission) -> None:
         """Set the admitted fraction and retry policy of request classes, or of those of a table."""
         if command.table is None:
@@ -203,14 +226,14 @@
         for subscriber in self.table_subscribers.get(table, ()):
             set_operation(messages.setdefault(subscriber, {}), (ENTRY, table, endpoint), weight)
 
-    def assign_table(self, messages: Messages, command: interface.AssignTable) -> None:
+    def assign_table(self, routed: RoutedCommands, command: interface.AssignTable) -> None:
         """Assign a table to request classes of a proxy, and send the proxy the whole table.
 
         The proxy drops a table that is no longer assigned to any of its request classes. Otherwise
         outdated entries would be in force when the same table is assigned to the proxy again.
         """
         proxy, table = command.proxy, command.table
-        operations = messages.setdefault(proxy, {})
+        operations = routed.messages.setdefault(proxy, {})
         self.unassigned_subscribers.discard(proxy)
         assigned = self.assigned_tables.setdefault(proxy, {})
         for request_class in command.request_classes:
@@ -225,4 +248,4 @@
             set_operation(operations, (ENTRY, table, endpoint), weight)
         if proxy in self.enforcing_subscribers:
             for request_class in self.table_admissions.get(table, {}):
-                self._send_admission(messages, proxy, request_class)
+                self._send_admission(routed.messages, proxy, request_class)
--- a/peatlead/interface.py
+++ b/peatlead/interface.py
@@ -249,6 +249,13 @@
     notify: Optional[tuple[int, ...]] = None
 
 
+class RestoreEndpoints(NamedTuple):
+    """Make a proxy stop ejecting endpoints, whichever controller had it eject them."""
+
+    proxy: int
+    endpoints: tuple[int, ...]
+
+
 class SetAdmission(NamedTuple):
     """Admit a fraction (0 to 1) of the requests of these classes.
 
@@ -316,6 +323,7 @@
     ClearTable,
     AssignTable,
     WithdrawEndpoint,
+    RestoreEndpoints,
     SetAdmission,
     RequestAcknowledgement,
     CheckHealth,
--- a/peatlead/lab/canonical_form.py
+++ b/peatlead/lab/canonical_form.py
@@ -37,6 +37,7 @@
     interface.SendGossip,
     interface.SetTimer,
     interface.LogMessage,
+    interface.RestoreEndpoints,
 )
 TYPE_NUMBERS = {value_type: number for number, value_type in enumerate(INTERFACE_TYPES)}
 
--- a/peatlead/planner/channel_budget.py
+++ b/peatlead/planner/channel_budget.py
@@ -13,6 +13,8 @@
 UPDATE_QUEUE_FRACTION = 0.25  # of the maximum queue, for updates that can be postponed
 TABLE_QUEUE_FRACTION = 0.4  # of the maximum queue, for whole tables
 UPDATE_MESSAGES_FRACTION = 0.5  # of a proxy's message limit, for updates that can be postponed
+# Of a proxy's message limit, for updates that should not wait for long.
+URGENT_MESSAGES_FRACTION = 0.8
 # Withdrawals up to this fraction of the maximum queue are always sent to unassigned proxies.
 MIN_WITHDRAWAL_QUEUE_FRACTION = 0.02
 # Above this fraction of the maximum queue, no more withdrawals are sent to unassigned proxies.
@@ -34,13 +36,31 @@
 
         `fraction` is the fraction of the proxy's message limit that such updates may use.
         """
+        return self.has_room_for_updates() and self._may_send_message(proxy, fraction)
+
+    def _may_send_message(self, proxy: ProxyState, fraction: float) -> bool:
+        """Return whether a proxy's messages are below a fraction of their limit."""
         settings, message_times = self.context.settings, proxy.message_times
         limit = settings["messages_most"]
         while message_times and self.context.now - message_times[0] > settings["messages_span"]:
             message_times.popleft()
-        return self.has_room(UPDATE_QUEUE_FRACTION) and (
-            not limit or len(message_times) < limit * fraction
-        )
+        return not limit or len(message_times) < limit * fraction
+
+    def may_write(self, proxy: ProxyState) -> bool:
+        """Return whether entries that should not wait for long fit in the proxy's messages.
+
+        They always fit if this batch sends the proxy a message anyway.
+        """
+        return self._has_message(proxy) or self._may_send_message(proxy, URGENT_MESSAGES_FRACTION)
+
+    def _has_message(self, proxy: ProxyState) -> bool:
+        """Return whether this batch sends the proxy a message."""
+        message_times = proxy.message_times
+        return bool(message_times) and message_times[-1] >= self.context.now
+
+    def has_room_for_updates(self) -> bool:
+        """Return whether the queue has room for updates that can be postponed."""
+        return self.has_room(UPDATE_QUEUE_FRACTION)
 
     def has_room(self, fraction: float = TABLE_QUEUE_FRACTION) -> bool:
         """Return whether less than a fraction of the maximum queue is in use."""
@@ -64,8 +84,7 @@
 
         A batch sends one message to each proxy, so the overhead of the message is counted once.
         """
-        message_times, now = proxy.message_times, self.context.now
-        new_message = not message_times or message_times[-1] < now
+        new_message = not self._has_message(proxy)
         if new_message:
-            message_times.append(now)
+            proxy.message_times.append(self.context.now)
         self.backlog.add_entries(proxy.number, entries, new_message)
--- a/peatlead/planner/endpoint_lifecycle.py
+++ b/peatlead/planner/endpoint_lifecycle.py
@@ -54,6 +54,8 @@
         ]
         for endpoint in forgotten:
             self._remove_entries(endpoint)
+            for proxy in self.context.proxies.values():
+                proxy.restored_endpoints.discard(endpoint.id)
             del self.context.endpoints[endpoint.id]
             self.schedule.deactivate(endpoint)
 
--- a/peatlead/planner/endpoint_state.py
+++ b/peatlead/planner/endpoint_state.py
@@ -59,6 +59,8 @@
         self.ever_withdrawn = False
         # By number: proxies to notify of the endpoint's return.
         self.notified_proxies: dict[int, object] = {}
+        # Numbers of the proxies that this withdrawal was sent to while they waited for tables.
+        self.ejecting_proxies: set[int] = set()
         self.unusable_since = now  # when the endpoint last became unusable
 
         # Slow start.
--- a/peatlead/planner/planner.py
+++ b/peatlead/planner/planner.py
@@ -37,6 +37,7 @@
 from .removals import Removals
 from .report_round import ReportRound
 from .request_demand import RequestDemand
+from .restorations import Restorations
 from .settings import PlannerSettings
 from .shuffle_sharding import ShuffleSharding
 from .slow_start import SlowStart
@@ -110,9 +111,12 @@
         self.sharding = ShuffleSharding(
             context, self.pools, self.zone_capacity, self.table_admission
         )
-        self.writer = TableWriter(context, changes, self.sharding, self.table_admission, budget)
+        self.restorations = Restorations(context, budget)
+        self.writer = TableWriter(
+            context, changes, self.sharding, self.table_admission, self.restorations, budget
+        )
         self.assignment = TableAssignment(
-            context, self.pools, self.report_round, self.writer, budget
+            context, self.pools, self.report_round, self.writer, self.restorations, budget
         )
         self.staged_updates = StagedUpdates(context, changes, self.writer, budget)
         self.withdrawals = Withdrawals(context, self.pools, self.sharding, self.assignment, budget)
@@ -159,7 +163,9 @@
         self.assignment.assign_waiting_proxies()
         self.withdrawals.send()
         self.removals.remove_unusable_endpoints()
+        self.restorations.send()
         self.staged_updates.publish_stage()
+        self.restorations.send()  # those of new entries, in the same messages
         nonce = self.budget.backlog.end_batch()
         if nonce:
             self.commands.append(interface.RequestAcknowledgement(nonce, False))
--- a/peatlead/planner/proxy_connections.py
+++ b/peatlead/planner/proxy_connections.py
@@ -42,6 +42,7 @@
         proxy.rate_is_announced = True
         proxy.connected_at = context.now
         proxy.assigned = False
+        proxy.restored_endpoints = set()
         proxy.notified_endpoints = set()
         proxy.seen_withdrawal_count = 0
         proxy.invalidate_tables()
--- a/peatlead/planner/proxy_state.py
+++ b/peatlead/planner/proxy_state.py
@@ -50,6 +50,10 @@
             tuple[int, int], tuple[RendezvousPool[EndpointState], list[EndpointState]]
         ] = {}
 
+        # Restorations: ids of the endpoints that the proxy does not eject, because the current
+        # stream has restored them.
+        self.restored_endpoints: set[int] = set()
+
         # Withdrawals, while the proxy waits for its tables.
         self.notified_endpoints: set[int] = set()  # ids of endpoints whose withdrawal was sent
         self.seen_withdrawal_count = 0  # `Withdrawals.withdrawal_count` at the last notification
--- /dev/null
+++ b/peatlead/planner/restorations.py
@@ -0,0 +1,86 @@
+"""Restores endpoints that proxies may still eject since an earlier stream.
+
+A proxy keeps its ejections after its stream has ended: another controller or an earlier process of
+this one may have sent them, and no message tells which they are. A table entry has no effect while
+its endpoint is ejected. Every endpoint of a proxy's tables is therefore restored once on each
+stream, whatever this controller knows about the endpoint.
+
+A restoration is an entry of the channel. Restorations of endpoints that this controller has
+withdrawn are sent together with the table entries. All others are postponed while the channel has
+no room for updates, so that they delay neither tables nor removals.
+"""
+
+from collections.abc import Collection, Iterable
+
+from ..interface import RestoreEndpoints
+from .channel_budget import ChannelBudget
+from .context import PlannerContext
+from .proxy_state import ProxyState
+
+
+class Restorations:
+    """Tracks which endpoints each stream has restored, and emits the missing restorations.
+
+    Without the setting `proxies_keep_ejections`, the channel itself restores endpoints, and only
+    its entries are counted.
+    """
+
+    def __init__(self, context: PlannerContext, budget: ChannelBudget) -> None:
+        self.context = context
+        self.budget = budget
+        # Numbers of proxies whose tables may name endpoints that are not restored; an ordered set.
+        self.pending_proxies: dict[int, bool] = {}
+
+    @property
+    def _is_required(self) -> bool:
+        return bool(self.context.settings.get("proxies_keep_ejections"))
+
+    def add_entries(self, proxy: ProxyState, endpoints: Collection[int]) -> None:
+        """Restore endpoints, given by id, whose entries are sent to a proxy in this batch.
+
+        Endpoints that this controller never withdrew are restored by `send`.
+        """
+        states = self.context.endpoints
+        withdrawn_before = [endpoint for endpoint in endpoints if states[endpoint].ever_withdrawn]
+        if not self._is_required:
+            if withdrawn_before:
+                self.budget.spend(proxy, len(withdrawn_before))
+            return
+        self._restore(proxy, withdrawn_before)
+        if not proxy.restored_endpoints.issuperset(endpoints):
+            self.pending_proxies[proxy.number] = True
+
+    def send(self) -> None:
+        """Restore the remaining endpoints of the pending proxies, while the channel has room."""
+        for number in list(self.pending_proxies):
+            if not self.budget.has_room_for_updates():
+                return
+            proxy = self.context.connected.get(number)
+            if proxy is None or not proxy.assigned:
+                del self.pending_proxies[number]
+            elif self.budget.may_write(proxy):
+                self._restore_remaining(proxy)
+
+    def _restore_remaining(self, proxy: ProxyState) -> None:
+        """Restore all endpoints of a proxy's tables except those that are withdrawn now.
+
+        A withdrawn endpoint may become ready before its entry is removed, so the proxy stays
+        pending until then.
+        """
+        endpoints = self.context.endpoints
+        in_tables: set[int] = set().union(*proxy.entries)
+        remaining = sorted(in_tables - proxy.restored_endpoints)
+        ready = [endpoint for endpoint in remaining if not endpoints[endpoint].withdrawn]
+        self._restore(proxy, ready)
+        if len(ready) == len(remaining):
+            del self.pending_proxies[proxy.number]
+
+    def _restore(self, proxy: ProxyState, endpoints: Iterable[int]) -> None:
+        """Emit and count the restorations that the proxy's stream has not sent yet."""
+        missing = tuple(
+            endpoint for endpoint in endpoints if endpoint not in proxy.restored_endpoints
+        )
+        if missing:
+            proxy.restored_endpoints.update(missing)
+            self.context.commands.append(RestoreEndpoints(proxy.number, missing))
+            self.budget.spend(proxy, len(missing))
--- a/peatlead/planner/settings.py
+++ b/peatlead/planner/settings.py
@@ -40,6 +40,7 @@
     # Proxies.
     pick: NotRequired[str]  # selection among the endpoints of a table, e.g. `PICK_LESS_LOADED`
     fails_to_shun: NotRequired[float]  # failures until proxies avoid an endpoint; 0 for never
+    proxies_keep_ejections: NotRequired[bool]  # whether ejections outlast the proxy's stream
     bare_most: float  # maximum seconds that a proxy may be without entries
     push_delay_most: float  # maximum seconds for the delivery of a message
 
--- a/peatlead/planner/staged_updates.py
+++ b/peatlead/planner/staged_updates.py
@@ -6,7 +6,11 @@
 from math import ceil
 
 from ..interface import SetTimer
-from .channel_budget import UPDATE_MESSAGES_FRACTION, ChannelBudget
+from .channel_budget import (
+    UPDATE_MESSAGES_FRACTION,
+    URGENT_MESSAGES_FRACTION,
+    ChannelBudget,
+)
 from .context import PlannerContext
 from .proxy_state import ProxyState
 from .table_assignment import TABLES_PER_BATCH
@@ -17,8 +21,6 @@
 STAGES = 10  # each stage covers one part in STAGES of the proxies
 STAGE_INTERVAL = 0.2  # seconds between two stages, on average
 STAGE_JITTER = (0.5, 1.5)  # each interval is multiplied by a random factor from this range
-# Fraction of a proxy's message limit that updates may use after a weight has decreased.
-URGENT_MESSAGES_FRACTION = 0.8
 
 
 class StagedUpdates:
--- a/peatlead/planner/table_assignment.py
+++ b/peatlead/planner/table_assignment.py
@@ -12,6 +12,7 @@
 from .endpoint_pools import EndpointPools
 from .proxy_state import ProxyState
 from .report_round import ReportRound
+from .restorations import Restorations
 from .table_writer import TableWriter
 from .timers import CONTINUE_DELAY, CONTINUE_TIMER
 
@@ -30,12 +31,14 @@
         pools: EndpointPools,
         report_round: ReportRound,
         writer: TableWriter,
+        restorations: Restorations,
         budget: ChannelBudget,
     ) -> None:
         self.context = context
         self.pools = pools
         self.report_round = report_round
         self.writer = writer
+        self.restorations = restorations
         self.budget = budget
         self.blocked_by_queue = False  # whether proxies wait because the channel has no room
         # Moving average of the entries for a proxy's tables and assignment.
@@ -87,15 +90,14 @@
             classes = tuple(group.request_classes)
             self.context.commands.append(AssignTable(proxy.number, table, classes))
             self.budget.spend(proxy, self._assignment_cost(proxy, number))
+            self.restorations.add_entries(proxy, proxy.entries[number])
         self.mean_cost += (
             self.budget.backlog.queued_entries - entries_before - self.mean_cost
         ) / COST_WINDOW
 
     def _assignment_cost(self, proxy: ProxyState, group: int) -> int:
-        """Return the entries for an assignment, its table, admissions and restored endpoints."""
-        entries, endpoints = proxy.entries[group], self.context.endpoints
-        restored_count = sum([endpoints[endpoint].ever_withdrawn for endpoint in entries])
-        return 1 + len(entries) + len(self.context.settings["req_kinds"]) + restored_count
+        """Return the entries for an assignment, its table and its admissions."""
+        return 1 + len(proxy.entries[group]) + len(self.context.settings["req_kinds"])
 
     def keeps_previous_table(self, proxy: ProxyState) -> bool:
         """Return whether the proxy keeps the table of its previous controller for now."""
--- a/peatlead/planner/table_writer.py
+++ b/peatlead/planner/table_writer.py
@@ -4,6 +4,7 @@
 from .channel_budget import ChannelBudget
 from .context import PlannerContext
 from .proxy_state import ProxyState
+from .restorations import Restorations
 from .shuffle_sharding import ShuffleSharding
 from .table_admission import TableAdmission
 from .table_changes import TableChanges
@@ -18,12 +19,14 @@
         changes: TableChanges,
         sharding: ShuffleSharding,
         table_admission: TableAdmission,
+        restorations: Restorations,
         budget: ChannelBudget,
     ) -> None:
         self.context = context
         self.changes = changes
         self.sharding = sharding
         self.table_admission = table_admission
+        self.restorations = restorations
         self.budget = budget
 
     def write(self, proxy: ProxyState) -> None:
@@ -81,9 +84,6 @@
             context.subscriber_index.add(endpoint, proxy.number)
         context.commands.append(SetEntry(proxy.first_table + group, endpoint, weight))
         if proxy.assigned:
-            # A proxy may avoid an endpoint that was once withdrawn. The endpoint's new entry in its
-            # table is then sent together with an entry that restores the endpoint.
-            restored = (
-                context.endpoints[endpoint].ever_withdrawn and weight > 0 and not previous_weight
-            )
-            self.budget.spend(proxy, 1 + restored)
+            self.budget.spend(proxy, 1)
+            if weight and not previous_weight:
+                self.restorations.add_entries(proxy, (endpoint,))
--- a/peatlead/planner/withdrawals.py
+++ b/peatlead/planner/withdrawals.py
@@ -76,7 +76,11 @@
         for number in endpoint.notified_proxies:
             if number in context.connected:
                 self.budget.spend(context.connected[number], 1)
+        for number in endpoint.ejecting_proxies:
+            if number in context.connected:
+                context.connected[number].restored_endpoints.add(endpoint.id)
         endpoint.notified_proxies = {}
+        endpoint.ejecting_proxies = set()
 
     def send(self) -> None:
         """Emit the withdrawals of this batch.
@@ -111,10 +115,12 @@
                 break  # the proxies' tables take precedence
             proxy.seen_withdrawal_count = self.withdrawal_count
             proxy.notified_endpoints |= endpoints
+            proxy.restored_endpoints -= endpoints
             if endpoints:
                 self.budget.spend(proxy, len(endpoints))
             for endpoint in sorted(endpoints):
                 context.endpoints[endpoint].notified_proxies[proxy.number] = True
+                context.endpoints[endpoint].ejecting_proxies.add(proxy.number)
                 proxies_to_notify.setdefault(endpoint, []).append(proxy.number)
 
     def _unnotified_proxies(self) -> list[ProxyState]:
--- a/peatlead/platform/controller.py
+++ b/peatlead/platform/controller.py
@@ -27,7 +27,7 @@
 from .session_listener import SessionListener
 from .session_owner import EndReason, Incident, Report
 from .sessions import Session
-from .settings_validation import REQUIRED_SETTINGS
+from .settings_validation import REQUIRED_SETTINGS, planner_settings
 from .shared_types import Log, Settings
 from .startup import open_with_retries
 from .telemetry import Telemetry
@@ -63,7 +63,7 @@
         make_planner: MakePlanner = Planner,
     ) -> None:
         settings = configuration.settings
-        super().__init__(make_planner(settings, configuration.seed), log)
+        super().__init__(make_planner(planner_settings(settings), configuration.seed), log)
         self.configuration = configuration
         self.settings = settings
         self.make_planner = make_planner
@@ -203,7 +203,7 @@
         Unfinished decisions of the old planner are lost.
         """
         seed = self.configuration.seed + self.restart_budget.failure_count
-        self.planner = self.make_planner(self.settings, seed)
+        self.planner = self.make_planner(planner_settings(self.settings), seed)
         self.publisher = Publisher()
         self.submit(self.endpoint_tracker.known_endpoints(now))
         for proxy, session in self.proxy_sessions.items():
@@ -233,7 +233,7 @@
         proxy is sent whole tables again after it has reconnected.
         """
         try:
-            data = self.push_composer.compose(self.publisher, proxy, session, operations, nonce)
+            data = self.push_composer.compose(self.publisher, proxy, operations, nonce)
         except Exception as error:
             self.log("message not written", proxy=proxy, error=repr(error))
             session.abort(EndReason.PUSH_FAILED)
@@ -280,8 +280,6 @@
             return
         for endpoint in self.endpoint_tracker.forget_unused(self.planner.endpoints):
             self.publisher.forget_endpoint(endpoint)
-            for session in self.proxy_sessions.values():
-                session.restored_endpoints.discard(endpoint)
 
     def check_health(self, command: interface.CheckHealth) -> None:
         """Start a health check that the planner requested."""
--- a/peatlead/platform/endpoint_tracker.py
+++ b/peatlead/platform/endpoint_tracker.py
@@ -1,17 +1,14 @@
 """State of the endpoints across the endpoint lists that discovery sends."""
 
 from collections.abc import Callable, Container
-from typing import Optional
 
 from msgspec.structs import replace
 
 from ..controller.endpoint_registry import EndpointRegistry
 from ..interface import EndpointPhase, EndpointUpdate, ListScope
-from ..sources.endpoint_list import EndpointList, ListedEndpoint
+from ..sources.endpoint_list import EndpointList
 from .shared_types import Log, Settings
 
-MAX_FORGOTTEN_NAMES = 20_000  # names kept after their endpoints were forgotten
-
 
 class EndpointTracker:
     """Converts endpoint lists to planner events.
@@ -31,11 +28,6 @@
             assume_old=True,
             compute_age=compute_age,
         )
-        # Endpoints that a full list has omitted, or that may have been in another phase since the
-        # previous list. A proxy may still eject such an endpoint because the proxy's previous
-        # controller has commanded this.
-        self.possibly_ejected: set[int] = set()
-        self.forgotten_names: dict[str, bool] = {}  # used as an ordered set
 
     def endpoint_name(self, endpoint: int) -> str:
         """Return the name of an endpoint, given by its number."""
@@ -45,29 +37,11 @@
     def apply(self, endpoint_list: EndpointList, now: float) -> EndpointUpdate:
         """Apply a list and return the event for the planner; `now` is on the loop's clock."""
         endpoint_list = self.keep_endpoints_with_unusable_entries(endpoint_list)
-        previous_phases = {
-            entry.name: self.last_phase(entry.name) for entry in endpoint_list.endpoints
-        }
-        is_first_list = not self.registry.list_received
         update: EndpointUpdate = self.registry.endpoint_update(endpoint_list, now)
         listed_names = {entry.name for entry in endpoint_list.endpoints}
         if endpoint_list.scope in (ListScope.WHOLE, ListScope.REMEMBERED):
             self.omitted_names = set(self.registry.numbers)
         self.omitted_names -= listed_names
-        if endpoint_list.scope != ListScope.CHANGES:
-            listed_endpoints = {endpoint.id for endpoint in update.endpoints}
-            self.possibly_ejected.update(
-                endpoint for endpoint in self.registry.entries if endpoint not in listed_endpoints
-            )
-        for entry in endpoint_list.endpoints:
-            endpoint = self.registry.numbers.get(entry.name)
-            was_known = is_first_list or self.was_listed_before(
-                entry.name, previous_phases[entry.name]
-            )
-            is_change = endpoint_list.scope == ListScope.CHANGES
-            has_changed = may_have_changed(entry, previous_phases[entry.name], is_change)
-            if endpoint is not None and was_known and has_changed:
-                self.possibly_ejected.add(endpoint)
         self.log_applied_list(endpoint_list)
         return update
 
@@ -94,14 +68,8 @@
         """
         unused_endpoints = [endpoint for endpoint in self.registry.entries if endpoint not in used]
         for endpoint in unused_endpoints:
-            name = self.endpoint_name(endpoint)
-            self.forgotten_names.pop(name, None)
-            self.forgotten_names[name] = True
-            self.omitted_names.discard(name)
+            self.omitted_names.discard(self.endpoint_name(endpoint))
             self.registry.forget_endpoint(endpoint)
-            self.possibly_ejected.discard(endpoint)
-        while len(self.forgotten_names) > MAX_FORGOTTEN_NAMES:
-            del self.forgotten_names[next(iter(self.forgotten_names))]
         return unused_endpoints
 
     def keep_endpoints_with_unusable_entries(self, endpoint_list: EndpointList) -> EndpointList:
@@ -131,18 +99,6 @@
             endpoints=(*previous_entries, *other_entries),
         )
 
-    def last_phase(self, name: str) -> Optional[str]:
-        """Return the phase of an endpoint's last entry, or None if the endpoint is unknown."""
-        endpoint = self.registry.numbers.get(name)
-        if endpoint is None:
-            return None
-        phase: str = self.registry.entries[endpoint].phase
-        return phase
-
-    def was_listed_before(self, name: str, previous_phase: Optional[str]) -> bool:
-        """Return whether an endpoint was listed before: only then may a proxy eject it."""
-        return previous_phase is not None or name in self.forgotten_names
-
     def log_applied_list(self, endpoint_list: EndpointList) -> None:
         """Log the size of an applied list and the number of its ready endpoints."""
         ready = sum(entry.phase == EndpointPhase.READY for entry in endpoint_list.endpoints)
@@ -153,12 +109,3 @@
             hosts=len(endpoint_list.endpoints),
             ready=ready,
         )
-
-
-def may_have_changed(entry: ListedEndpoint, previous_phase: Optional[str], is_change: bool) -> bool:
-    """Return whether an endpoint may have been in another phase since the previous list.
-
-    One entry may combine several changes: the endpoint may have left and returned in between.
-    """
-    phases = {previous_phase, entry.phase}
-    return bool(entry.started or is_change or phases - {None, EndpointPhase.READY})
--- a/peatlead/platform/push.py
+++ b/peatlead/platform/push.py
@@ -1,10 +1,4 @@
-"""Composes the push message that a batch sends to one proxy.
-
-A proxy keeps an endpoint ejected after its stream has ended, and any controller may have ejected
-it; a table entry has no effect while its endpoint is ejected. Each session therefore records which
-endpoints were restored on its stream. The first entry for another endpoint also restores that
-endpoint, if it may be ejected.
-"""
+"""Composes the push message that a batch sends to one proxy."""
 
 from collections.abc import Iterable, Set
 from typing import NamedTuple, Optional
@@ -13,7 +7,6 @@
 from ..controller.publisher import Publisher
 from .endpoint_tracker import EndpointTracker
 from .messages import Admission, TableUpdate, write_push
-from .sessions import Session
 
 
 class EjectionChanges(NamedTuple):
@@ -34,36 +27,21 @@
         self,
         publisher: Publisher,
         proxy: int,
-        session: Session,
         operations: Operations,
         nonce: Optional[int],
     ) -> bytes:
-        """Return the encoded message, empty if there is nothing to send.
-
-        Restored and ejected endpoints are recorded in the session.
-        """
-        changes = self.update_ejections(session, operations)
+        """Return the encoded message, empty if there is nothing to send."""
+        changes = self.ejection_changes(operations)
         updates = self.table_updates(publisher, proxy, operations)
         return write_push(updates, changes.ejected_names, changes.restored_names, nonce)
 
-    def update_ejections(self, session: Session, operations: Operations) -> EjectionChanges:
-        """Return the endpoints to eject and to restore, and record them in the session."""
+    def ejection_changes(self, operations: Operations) -> EjectionChanges:
+        """Return the endpoints to eject and to restore."""
         changes = EjectionChanges([], [])
         for key, value in operations.items():
             if key[0] == WITHDRAWN:
-                endpoint = key[1]
-                if value:
-                    changes.ejected_names.append(self.endpoint_tracker.endpoint_name(endpoint))
-                    session.restored_endpoints.discard(endpoint)
-                elif endpoint not in session.restored_endpoints:
-                    changes.restored_names.append(self.endpoint_tracker.endpoint_name(endpoint))
-                    session.restored_endpoints.add(endpoint)
-            elif key[0] == ENTRY and value:
-                endpoint = key[2]
-                if endpoint not in session.restored_endpoints:
-                    if endpoint in self.endpoint_tracker.possibly_ejected:
-                        changes.restored_names.append(self.endpoint_tracker.endpoint_name(endpoint))
-                    session.restored_endpoints.add(endpoint)
+                names = changes.ejected_names if value else changes.restored_names
+                names.append(self.endpoint_tracker.endpoint_name(key[1]))
         return changes
 
     def table_updates(
--- a/peatlead/platform/sessions.py
+++ b/peatlead/platform/sessions.py
@@ -58,8 +58,6 @@
         self.zone = 0  # index of the zone
         self.request_rate = 0.0  # requests per second
         self.bootstrap_only = True  # whether the proxy has no table of any controller yet
-        # Endpoints that the proxy does not eject, because this stream has restored them.
-        self.restored_endpoints: set[int] = set()
         # Sent on this stream, oldest first; if a proxy answers none, the oldest are dropped.
         self.unacknowledged_nonces: deque[int] = deque(maxlen=MAX_UNACKNOWLEDGED_NONCES)
 
--- a/peatlead/platform/settings_validation.py
+++ b/peatlead/platform/settings_validation.py
@@ -1,4 +1,7 @@
-"""Validation of the planner's settings; the planner itself does not check them."""
+"""Validation of the planner's settings; the planner itself does not check them.
+
+The settings that follow from the platform's protocol are added here.
+"""
 
 from collections.abc import Iterator
 from typing import Any
@@ -25,6 +28,8 @@
     "tip_multiple": 1e9,
     "sums_every": 1.0,
 }
+# Settings that follow from the platform's protocol.
+PROTOCOL_SETTINGS = {"proxies_keep_ejections": True}
 # Settings that must be numbers if they are given.
 NUMERIC_SETTINGS = (
     *(name for name in REQUIRED_SETTINGS if name != "zones"),
@@ -47,6 +52,11 @@
 )
 
 
+def planner_settings(settings: Settings) -> Settings:
+    """Return valid settings together with those that follow from the protocol."""
+    return {**settings, **PROTOCOL_SETTINGS}
+
+
 def settings_errors(settings: Settings) -> list[str]:
     """Return a message for each error in the settings."""
     errors = [*missing_settings(settings), *non_numeric_settings(settings)]
--- a/peatlead/platform/telemetry.py
+++ b/peatlead/platform/telemetry.py
@@ -65,10 +65,12 @@
         items = operations.items()
         removed_count = sum(key[0] == ENTRY and not value for key, value in items)
         ejected_count = sum(key[0] == WITHDRAWN and bool(value) for key, value in items)
+        restored_count = operation_kinds.count(WITHDRAWN) - ejected_count
         self.count("messages")
         self.count("lines", operation_kinds.count(ENTRY))
         self.count("removed_lines", removed_count)
         self.count("shut_out", ejected_count)
+        self.count("restored", restored_count)
         self.count("levels", operation_kinds.count(ADMISSION))
         if ASSIGNMENT in operation_kinds:
             self.proxies_sent_tables.append(proxy)
--- a/tests/compatibility/test_lab_digests.py
+++ b/tests/compatibility/test_lab_digests.py
@@ -61,6 +61,7 @@
         "SendGossip",
         "SetTimer",
         "LogMessage",
+        "RestoreEndpoints",
     )
 )
 
