Planner: the limited counts of a report are computed once; one bound of an announced rate

LoadStatistics returns the counts that it added, and EndpointCapacity takes them: each report had its limits applied twice. The gRPC front clamps an announced rate with the planner's bound, which had the same value in a constant of its own.

--- a/peatlead/grpc/proxy_node.py
+++ b/peatlead/grpc/proxy_node.py
@@ -7,6 +7,7 @@
 from math import isfinite
 from typing import Any, NamedTuple, Optional
 
+from ..planner.input_bounds import MAX_RATE
 from ..tables.version import WEIGHT_SCALE, parse_line_key, parse_version
 from .resources import LB_ENDPOINT_TYPE_URL, WeightedEndpoint, parse_resource_name
 
@@ -16,7 +17,6 @@
 MAX_UNREACHABLE_CONTROLLERS = 100  # further reported controllers are ignored
 MAX_EPOCH = 2**53  # greater integers are not exact in a protobuf Struct, which holds doubles
 MIN_RATE = 0.01  # requests per second
-MAX_RATE = 1e6  # requests per second
 DEFAULT_RATE = 1.0  # requests per second
 HOPS_IF_UNREPORTED = 100  # a proxy that reports no hops does not support redirects
 ENDPOINT_FIELDS = 4  # fields in the text of a held endpoint
--- a/peatlead/planner/endpoint_capacity.py
+++ b/peatlead/planner/endpoint_capacity.py
@@ -10,7 +10,7 @@
 
 from ..interface import EndpointStats
 from .context import PlannerContext
-from .endpoint_state import READY, EndpointState
+from .endpoint_state import READY, Counts, EndpointState
 from .input_bounds import rate_window
 from .load_statistics import LoadStatistics
 from .request_demand import RequestDemand, total_rate
@@ -39,14 +39,13 @@
         # By zone of the endpoints; kept while a zone has no warm endpoints.
         self.by_zone: dict[int, float] = {}
 
-    def on_endpoint_stats(self, event: EndpointStats) -> None:
-        """Update the rate of successful attempts from a report that the statistics have used."""
+    def on_endpoint_stats(self, event: EndpointStats, counts: Counts) -> None:
+        """Update the rate of successful attempts from the counts that the statistics used."""
         endpoint = self.context.endpoints[event.endpoint]
         if not _shows_capacity(event, endpoint):
             return
-        limited = self.load_statistics.limited_counts(event)
         window = rate_window(event.window, self.context.settings["sums_every"])
-        rate = (limited.attempts - limited.errors) / window
+        rate = (counts.attempts - counts.errors) / window
         average = endpoint.success_rates.get(event.zone, rate)
         endpoint.success_rates[event.zone] = average + (rate - average) / SUCCESS_RATE_WINDOW
 
--- a/peatlead/planner/load_statistics.py
+++ b/peatlead/planner/load_statistics.py
@@ -6,7 +6,7 @@
 """
 
 from math import fsum
-from typing import NamedTuple
+from typing import NamedTuple, Optional
 
 from ..interface import EndpointStats
 from .context import PlannerContext
@@ -63,17 +63,17 @@
         ]
         self.max_latency = MAX_LATENCY_FACTOR * max(targets, default=0.0)  # seconds
 
-    def on_endpoint_stats(self, event: EndpointStats) -> bool:
+    def on_endpoint_stats(self, event: EndpointStats) -> Optional[Counts]:
         """Add a report about one endpoint from the proxies of one zone.
 
-        Return whether the report was used.
+        Return the counts that were added, or None if the report was not used.
         """
         if not endpoint_stats_are_usable(event, self.context.settings["sums_every"]):
-            return False
+            return None
         endpoint = self.context.endpoints.get(event.endpoint)
         self.report_round.note_report()
         if endpoint is None or self._predates_start(event, endpoint):
-            return False
+            return None
         # If the rate of reports is limited, a report covers more time than the configured interval.
         configured = max(MIN_CYCLE, self.context.settings["sums_every"])
         max_interval = max(
@@ -81,11 +81,12 @@
         )
         report_interval = min(max(event.window, configured), max_interval)
         self.reporting_cycle += (report_interval - self.reporting_cycle) / CYCLE_WINDOW
-        self._add_counts(event, endpoint)
+        counts = self._limited_counts(event)
+        self._add_counts(event, endpoint, counts)
         endpoint.add_load_report(event.load_report)
         if event.errors:
             self.health_checks.check_early(endpoint)
-        return True
+        return counts
 
     def _predates_start(self, event: EndpointStats, endpoint: EndpointState) -> bool:
         """Return whether the report covers a previous process of the endpoint."""
@@ -94,26 +95,25 @@
             and self.context.now - event.window - REPORT_DELAY < endpoint.cold_since
         )
 
-    def _add_counts(self, event: EndpointStats, endpoint: EndpointState) -> None:
-        """Add a report to the decayed counts for its endpoint and zone."""
+    def _add_counts(self, event: EndpointStats, endpoint: EndpointState, counts: Counts) -> None:
+        """Add the counts of a report to the decayed counts for its endpoint and zone."""
         now = self.context.now
         if event.attempts > event.errors:
             endpoint.last_success_at = now
         self.last_success_at = max(self.last_success_at, endpoint.last_success_at)
-        attempts, errors, latency_sum = self.limited_counts(event)
         previous = endpoint.counts_by_zone.get(event.zone)
         if previous is None:
-            endpoint.counts_by_zone[event.zone] = DatedCounts(now, attempts, errors, latency_sum)
+            endpoint.counts_by_zone[event.zone] = DatedCounts(now, *counts)
             return
         decay = CYCLE_DECAY ** ((now - previous.updated_at) / self.reporting_cycle)
         endpoint.counts_by_zone[event.zone] = DatedCounts(
             now,
-            previous.attempts * decay + attempts,
-            previous.errors * decay + errors,
-            previous.latency_sum * decay + latency_sum,
+            previous.attempts * decay + counts.attempts,
+            previous.errors * decay + counts.errors,
+            previous.latency_sum * decay + counts.latency_sum,
         )
 
-    def limited_counts(self, event: EndpointStats) -> Counts:
+    def _limited_counts(self, event: EndpointStats) -> Counts:
         """Return the counts of a report, reduced if they are far out of the usual.
 
         The decayed counts would otherwise be those of one report with an impossible number for many
--- a/peatlead/planner/planner.py
+++ b/peatlead/planner/planner.py
@@ -210,8 +210,9 @@
 
     def on_endpoint_stats(self, event: interface.EndpointStats) -> None:
         """Add a report about one endpoint to the statistics and to the estimate of capacity."""
-        if self.load_statistics.on_endpoint_stats(event):
-            self.capacity.on_endpoint_stats(event)
+        counts = self.load_statistics.on_endpoint_stats(event)
+        if counts is not None:
+            self.capacity.on_endpoint_stats(event, counts)
 
     def on_acknowledged(self, event: interface.Acknowledged) -> None:
         """Remove the acknowledged entries from the channel backlog."""
--- a/tests/grpc/test_proxy_node.py
+++ b/tests/grpc/test_proxy_node.py
@@ -4,7 +4,8 @@
 
 from envoy.service.discovery.v3 import discovery_pb2
 
-from peatlead.grpc.proxy_node import MAX_RATE, read_node
+from peatlead.grpc.proxy_node import read_node
+from peatlead.planner.input_bounds import MAX_RATE
 
 
 def request_with(**metadata):
