Planner: what a limit of tables needs is computed once for each scope

RequestDemand.rate takes all proxies of a scope and computes the mean target, the sum of requests and the limit on announced rates once, not for each proxy; whether a scope's endpoints are mostly cold is computed once an update, up to three times before; a table's limit makes no scope while there are no limits, which is asked for each report and table.

--- a/peatlead/planner/request_demand.py
+++ b/peatlead/planner/request_demand.py
@@ -1,6 +1,6 @@
 """The number of requests and the amount of work by request class."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable
 from math import fsum
 
 from ..interface import RequestStats
@@ -55,27 +55,42 @@
         median_rate = median([proxy.request_rate for proxy in self.context.connected_proxies])
         return MAX_ANNOUNCED_FACTOR * max(MIN_KNOWN_RATE, median_rate)
 
-    def rate(
-        self, proxy: ProxyState, request_classes: list[int], max_announced_rate: float
-    ) -> float:
-        """Return a proxy's requests per second of some classes, as a number of mean requests.
+    def rate(self, proxies: Iterable[ProxyState], request_classes: list[int]) -> float:
+        """Return the requests per second of proxies for some classes, as a number of mean requests.
 
-        A request counts as its work relative to the mean. Until the proxy's requests are reported,
-        its announced rate is divided among the classes like the requests of all proxies.
+        A request counts as its work relative to the mean.
         """
-        rates: Mapping[int, float] = proxy.class_rates
-        if not rates:
-            rate_per_request = total_rate(proxy, max_announced_rate) / fsum(self.requests)
-            rates = {
-                request_class: rate_per_request * self.requests[request_class]
-                for request_class in request_classes
-            }
+        max_announced_rate = self.max_announced_rate()
+        total_requests, mean_target = fsum(self.requests), self.mean_target()
         classes = self.context.settings["req_kinds"]
-        work = [
-            rates.get(request_class, 0.0) * classes[request_class]["response_target"]
+        proxy_rates = []
+        for proxy in proxies:
+            rates = proxy.class_rates or self._announced_rates(
+                proxy, request_classes, max_announced_rate, total_requests
+            )
+            work = [
+                rates.get(request_class, 0.0) * classes[request_class]["response_target"]
+                for request_class in request_classes
+            ]
+            proxy_rates.append(fsum(work) / mean_target)
+        return fsum(proxy_rates)
+
+    def _announced_rates(
+        self,
+        proxy: ProxyState,
+        request_classes: list[int],
+        max_announced_rate: float,
+        total_requests: float,
+    ) -> dict[int, float]:
+        """Return the rates by class of a proxy whose requests have not been reported yet.
+
+        Its announced rate is divided among the classes like the requests of all proxies.
+        """
+        rate_per_request = total_rate(proxy, max_announced_rate) / total_requests
+        return {
+            request_class: rate_per_request * self.requests[request_class]
             for request_class in request_classes
-        ]
-        return fsum(work) / self.mean_target()
+        }
 
     def end_round(self) -> None:
         """Decay the counts."""
--- a/peatlead/planner/table_admission.py
+++ b/peatlead/planner/table_admission.py
@@ -81,16 +81,9 @@
     cold: list[EndpointState]
     warm: list[EndpointState]
     silent: list[EndpointState]  # warm ones that proxies avoid
-
-    @property
-    def serving(self) -> list[EndpointState]:
-        """The endpoints that answer."""
-        return self.cold + self.warm
-
-    @property
-    def cold_heavy(self) -> bool:
-        """Whether the cold endpoints have a large part of the usual weight of those that answer."""
-        return bool(self.cold) and is_cold_heavy(self.serving)
+    serving: list[EndpointState]  # the cold and warm ones, which answer
+    # Whether the cold endpoints have a large part of the usual weight of those that answer.
+    cold_heavy: bool
 
 
 class ScopeLoad(NamedTuple):
@@ -139,11 +132,17 @@
 
     def fraction(self, proxy: ProxyState, group: int) -> float:
         """Return the admitted fraction of a proxy's table."""
-        return self.limits.get(self.pools.scope(group, proxy.zone), NO_LIMIT).fraction
+        return self._limit(proxy, group).fraction
 
     def weight_fractions(self, proxy: ProxyState, group: int) -> dict[int, float]:
         """Return the unusual fractions of listed weights in a proxy's table, by endpoint id."""
-        return self.limits.get(self.pools.scope(group, proxy.zone), NO_LIMIT).weight_fractions
+        return self._limit(proxy, group).weight_fractions
+
+    def _limit(self, proxy: ProxyState, group: int) -> ScopeLimit:
+        """Return the limit of a proxy's table."""
+        if not self.limits:
+            return NO_LIMIT
+        return self.limits.get(self.pools.scope(group, proxy.zone), NO_LIMIT)
 
     def set_retry_policy(self, retry_policy: str) -> None:
         """Use the retry policy of the request classes for tables with their own admission."""
@@ -248,15 +247,18 @@
         """
         pools = self.pools.allowed_pools(scope.group, scope.zone)
         listed = [endpoint for pool in pools.values() for endpoint in pool]
-        found = ScopeEndpoints([], [], [])
+        cold: list[EndpointState] = []
+        warm: list[EndpointState] = []
+        silent: list[EndpointState] = []
         for endpoint in [endpoint for endpoint in listed if endpoint.usable] or listed:
             if endpoint.cold_since is not None:
-                found.cold.append(endpoint)
+                cold.append(endpoint)
             elif scope.zone is not None and self._is_silent(endpoint):
-                found.silent.append(endpoint)
+                silent.append(endpoint)
             else:
-                found.warm.append(endpoint)
-        return found
+                warm.append(endpoint)
+        serving = cold + warm
+        return ScopeEndpoints(cold, warm, silent, serving, bool(cold) and is_cold_heavy(serving))
 
     def _load(self, scope: Scope, endpoints: ScopeEndpoints) -> ScopeLoad:
         """Return the published weights of a scope, and its requests per unit of weight."""
@@ -301,10 +303,7 @@
     def _requests(self, scope: Scope) -> float:
         """Return the mean requests per second that the proxies of a scope send to its group."""
         classes = self.pools.groups[scope.group].request_classes
-        max_announced_rate = self.demand.max_announced_rate()
-        return fsum(
-            [self.demand.rate(proxy, classes, max_announced_rate) for proxy in self._proxies(scope)]
-        )
+        return self.demand.rate(self._proxies(scope), classes)
 
     def _fraction(self, load: ScopeLoad, requests_per_weight: dict[int, float]) -> float:
         """Return the fraction of a scope's requests that its endpoints can serve.
