--- a/peatlead/benchmarks/cold_start.py
+++ b/peatlead/benchmarks/cold_start.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
+from ..interface import Admission
 from .cold_endpoints import FleetPlan, FleetProxy, FleetResult
 from .cold_fleet import START, TICK, ColdFleet
 
@@ -85,7 +86,7 @@
             for number in classes if proxy.zone in zones else ():
                 proxy.view.tables["informed", str(number)] = weights
                 proxy.view.assigned_tables[number] = "informed", str(number)
-                proxy.view.admissions[number] = fraction, ""
+                proxy.view.admissions[number] = Admission(fraction, "")
         return demand * fraction / capacity if capacity else 0.0
 
 
--- a/peatlead/controller/message.py
+++ b/peatlead/controller/message.py
@@ -7,7 +7,7 @@
     (ENTRY, table, endpoint): weight             set a table entry; weight 0 removes the entry
     (WITHDRAWN, endpoint): withdrawn             eject an endpoint from all tables, or restore it
     (ASSIGNMENT, request class): table           assign a table to a request class
-    (ADMISSION, request class): (admitted fraction, retry policy)
+    (ADMISSION, request class): interface.Admission
     (UNASSIGNED_TABLE, table): True              drop a table that is no longer assigned
     (PIN_CHECK, entry key): True                 check the entry against the pin in force
 
--- a/peatlead/controller/publisher.py
+++ b/peatlead/controller/publisher.py
@@ -50,10 +50,9 @@
         self.notified_subscribers: dict[int, set[int]] = {}
         # Endpoints whose withdrawal was sent to a subscriber, by subscriber.
         self.ejected_endpoints: dict[int, set[int]] = {}
-        # (admitted fraction, retry policy), by request class.
-        self.admissions: dict[int, tuple[float, str]] = {}
+        self.admissions: dict[int, interface.Admission] = {}  # by request class
         # The same for the tables that have their own, by table and request class.
-        self.table_admissions: dict[int, dict[int, tuple[float, str]]] = {}
+        self.table_admissions: dict[int, dict[int, interface.Admission]] = {}
         # Methods that apply the commands that concern subscribers, by type of command.
         self._routes: dict[type, Callable[[RoutedCommands, Any], None]] = {
             interface.SetEntry: self.route_entry,
@@ -188,11 +187,11 @@
                 self.table_subscribers.get(command.table, ())
             )
         for request_class in command.request_classes:
-            admissions[request_class] = (command.fraction, command.retry_policy)
+            admissions[request_class] = interface.Admission(command.fraction, command.retry_policy)
             for subscriber in subscribers:
                 self._send_admission(messages, subscriber, request_class)
 
-    def admission(self, subscriber: int, request_class: int) -> Optional[tuple[float, str]]:
+    def admission(self, subscriber: int, request_class: int) -> Optional[interface.Admission]:
         """Return the admission in force at a subscriber, or None if none was set.
 
         If both the class and its table have an admission, the lower fraction and the table's retry
@@ -203,7 +202,7 @@
         own = None if table is None else self.table_admissions.get(table, {}).get(request_class)
         if admission is None or own is None:
             return own or admission
-        return min(admission[0], own[0]), own[1]
+        return interface.Admission(min(admission.fraction, own.fraction), own.retry_policy)
 
     def _send_admission(self, messages: Messages, subscriber: int, request_class: int) -> None:
         """Add the admission in force to a subscriber's message."""
--- a/peatlead/controller/view_state.py
+++ b/peatlead/controller/view_state.py
@@ -1,5 +1,6 @@
 """The state of one subscriber, rebuilt from the messages that were sent to it."""
 
+from ..interface import Admission
 from .message import ADMISSION, ASSIGNMENT, ENTRY, UNASSIGNED_TABLE, WITHDRAWN, Operations, TableId
 
 
@@ -12,8 +13,7 @@
         self.tables: dict[TableId, dict[int, float]] = {}  # weights of endpoints, by table
         self.assigned_tables: dict[int, TableId] = {}  # by request class
         self.withdrawn: set[int] = set()  # ejected endpoints; they override the tables
-        # (admitted fraction, retry policy), by request class.
-        self.admissions: dict[int, tuple[float, str]] = {}
+        self.admissions: dict[int, Admission] = {}  # by request class
 
     def apply(self, operations: Operations) -> None:
         """Apply the operations of one message."""
--- a/peatlead/interface.py
+++ b/peatlead/interface.py
@@ -256,6 +256,16 @@
     endpoints: tuple[int, ...]
 
 
+class Admission(NamedTuple):
+    """The admitted fraction of requests (0 to 1), and the retry policy of the admitted ones.
+
+    `retry_policy` is the value of a `RetryPolicy`.
+    """
+
+    fraction: float
+    retry_policy: str
+
+
 class SetAdmission(NamedTuple):
     """Admit a fraction (0 to 1) of the requests of these classes.
 
--- a/peatlead/planner/class_admission.py
+++ b/peatlead/planner/class_admission.py
@@ -8,8 +8,7 @@
 from math import fsum
 from typing import Optional
 
-from ..interface import RequestStats, RetryPolicy, SetAdmission
-from .admission import Admission
+from ..interface import Admission, RequestStats, RetryPolicy, SetAdmission
 from .channel_budget import ChannelBudget
 from .context import PlannerContext
 from .fleet_load import FleetLoad
--- a/peatlead/planner/proxy_state.py
+++ b/peatlead/planner/proxy_state.py
@@ -3,7 +3,7 @@
 from collections import deque
 from typing import Optional
 
-from .admission import Admission
+from ..interface import Admission
 from .endpoint_state import EndpointState
 from .rendezvous import RendezvousPool, proxy_key
 
--- a/peatlead/planner/table_admission.py
+++ b/peatlead/planner/table_admission.py
@@ -19,8 +19,7 @@
 from math import fsum
 from typing import NamedTuple, Optional
 
-from ..interface import RetryPolicy
-from .admission import Admission
+from ..interface import Admission, RetryPolicy
 from .context import PlannerContext
 from .endpoint_capacity import EndpointCapacity
 from .endpoint_pools import EndpointPools, Scope
--- a/peatlead/platform/messages/outbound.py
+++ b/peatlead/platform/messages/outbound.py
@@ -10,7 +10,7 @@
 
 from msgspec import json
 
-from ...interface import RetryPolicy
+from ...interface import Admission, RetryPolicy
 
 MAX_LINE_BYTES = 1 << 20  # in either direction
 MAX_PARTS = 64  # parts of one push message
@@ -31,13 +31,6 @@
 Part = dict[str, Any]  # one line of a push message; the keys are the names on the wire
 
 
-class Admission(NamedTuple):
-    """The fraction of requests to admit (0 to 1), and the retry policy of admitted requests."""
-
-    fraction: float
-    retry_policy: str
-
-
 class TableUpdate(NamedTuple):
     """A change of a proxy's table for some request classes.
 
--- a/peatlead/platform/push.py
+++ b/peatlead/platform/push.py
@@ -5,8 +5,9 @@
 
 from ..controller.message import ADMISSION, ASSIGNMENT, ENTRY, WITHDRAWN, Operations, TableId
 from ..controller.publisher import Publisher
+from ..interface import Admission
 from .endpoint_tracker import EndpointTracker
-from .messages import Admission, TableUpdate, write_push
+from .messages import TableUpdate, write_push
 
 
 class EjectionChanges(NamedTuple):
@@ -112,5 +113,5 @@
             admission_by_class[request_class] = admission
     classes_of_admission: dict[Admission, list[int]] = {}
     for request_class, admission in sorted(admission_by_class.items()):
-        classes_of_admission.setdefault(Admission(*admission), []).append(request_class)
+        classes_of_admission.setdefault(admission, []).append(request_class)
     return classes_of_admission
