Planner: a proxy that leaves keeps no set of restored endpoints

The set belongs to a stream; kept until the next one it would take about 2 KB for each of 1,600 proxies.

--- a/peatlead/planner/proxy_connections.py
+++ b/peatlead/planner/proxy_connections.py
@@ -71,6 +71,8 @@
         """Remove the proxy from the connected ones, and its entries from the channel backlog."""
         context = self.context
         if event.proxy in context.connected:
-            context.connected.pop(event.proxy).assigned = False
+            proxy = context.connected.pop(event.proxy)
+            proxy.assigned = False
+            proxy.restored_endpoints = set()
             context.unassigned.pop(event.proxy, None)
             self.budget.backlog.remove_proxy(event.proxy)
