Planner: restorations wait for a nearly idle channel, after the drain grace less

Cause: restorations filled the queue up to a quarter of its limit between the tables of a herd, so that the removals of drains waited behind them.

Change: they are written while the queue is under a twentieth of its limit. Once they have waited for the drain grace, the quarter of other updates holds, since these may keep a slow channel from ever being nearly idle. The time ends with the stream; Restorations.reset is called for each new one.

--- a/peatlead/planner/channel_budget.py
+++ b/peatlead/planner/channel_budget.py
@@ -12,6 +12,8 @@
 MAX_CHANNEL_SLOWDOWN = 16  # factor by which the channel may be slower than its configured rate
 UPDATE_QUEUE_FRACTION = 0.25  # of the maximum queue, for updates that can be postponed
 TABLE_QUEUE_FRACTION = 0.4  # of the maximum queue, for whole tables
+# Of the maximum queue, for restorations within the drain grace.
+RESTORATION_QUEUE_FRACTION = 0.05
 UPDATE_MESSAGES_FRACTION = 0.5  # of a proxy's message limit, for updates that can be postponed
 # Of a proxy's message limit, for updates that should not wait for long.
 URGENT_MESSAGES_FRACTION = 0.8
@@ -62,6 +64,17 @@
         """Return whether the queue has room for updates that can be postponed."""
         return self.has_room(UPDATE_QUEUE_FRACTION)
 
+    def has_room_for_restorations(self, waited: float) -> bool:
+        """Return whether the queue has room for restorations that have waited for some seconds.
+
+        Within the drain grace they are sent only while the channel is nearly idle, so that they do
+        not delay tables and removals. After that they share the room for updates, which may keep
+        a slow channel from being idle.
+        """
+        if waited > self.context.settings["drain_grace"]:
+            return self.has_room_for_updates()
+        return self.has_room(RESTORATION_QUEUE_FRACTION)
+
     def has_room(self, fraction: float = TABLE_QUEUE_FRACTION) -> bool:
         """Return whether less than a fraction of the maximum queue is in use."""
         return bool(self.backlog.queued_entries < fraction * self.context.settings["queue_most"])
--- a/peatlead/planner/planner.py
+++ b/peatlead/planner/planner.py
@@ -76,7 +76,9 @@
             self.load_statistics,
             self.withdrawals,
         )
-        self.connections = ProxyConnections(context, self.pools, self.zone_capacity, self.budget)
+        self.connections = ProxyConnections(
+            context, self.pools, self.zone_capacity, self.restorations, self.budget
+        )
         self.handlers: dict[type, Callable[[Any], None]] = {
             interface.EndpointUpdate: self.endpoint_updates.on_update,
             interface.ProxyConnected: self.connections.on_connected,
--- a/peatlead/planner/proxy_connections.py
+++ b/peatlead/planner/proxy_connections.py
@@ -6,6 +6,7 @@
 from .endpoint_pools import EndpointPools
 from .input_bounds import usable_rate
 from .proxy_state import ProxyState
+from .restorations import Restorations
 from .zone_capacity import ZoneCapacity
 
 # Fraction of the maximum safe time for which a proxy keeps the table of its previous controller.
@@ -20,11 +21,13 @@
         context: PlannerContext,
         pools: EndpointPools,
         zone_capacity: ZoneCapacity,
+        restorations: Restorations,
         budget: ChannelBudget,
     ) -> None:
         self.context = context
         self.pools = pools
         self.zone_capacity = zone_capacity
+        self.restorations = restorations
         self.budget = budget
 
     def on_connected(self, event: ProxyConnected) -> None:
@@ -42,7 +45,7 @@
         proxy.rate_is_announced = True
         proxy.connected_at = context.now
         proxy.assigned = False
-        proxy.restored_endpoints = set()
+        self.restorations.reset(proxy)
         proxy.notified_endpoints = set()
         proxy.seen_withdrawal_count = 0
         proxy.invalidate_tables()
@@ -73,6 +76,6 @@
         if event.proxy in context.connected:
             proxy = context.connected.pop(event.proxy)
             proxy.assigned = False
-            proxy.restored_endpoints = set()
+            self.restorations.reset(proxy)
             context.unassigned.pop(event.proxy, None)
             self.budget.backlog.remove_proxy(event.proxy)
--- a/peatlead/planner/restorations.py
+++ b/peatlead/planner/restorations.py
@@ -6,8 +6,8 @@
 stream, whatever this controller knows about the endpoint.
 
 A restoration is an entry of the channel. Restorations of endpoints that this controller has
-withdrawn are sent together with the table entries. All others are postponed while the channel has
-no room for updates, so that they delay neither tables nor removals.
+withdrawn are sent together with the table entries. All others are postponed while the channel is
+busy, so that they delay neither tables nor removals.
 """
 
 from collections.abc import Collection, Iterable
@@ -28,13 +28,19 @@
     def __init__(self, context: PlannerContext, budget: ChannelBudget) -> None:
         self.context = context
         self.budget = budget
-        # Numbers of proxies whose tables may name endpoints that are not restored; an ordered set.
-        self.pending_proxies: dict[int, bool] = {}
+        # Proxies whose tables may name endpoints that are not restored: since when, in seconds, by
+        # number. Those that have waited longest come first.
+        self.pending_proxies: dict[int, float] = {}
 
     @property
     def _is_required(self) -> bool:
         return bool(self.context.settings.get("proxies_keep_ejections"))
 
+    def reset(self, proxy: ProxyState) -> None:
+        """Forget what a proxy's previous stream has restored."""
+        proxy.restored_endpoints = set()
+        self.pending_proxies.pop(proxy.number, None)
+
     def add_entries(self, proxy: ProxyState, endpoints: Collection[int]) -> None:
         """Restore endpoints, given by id, whose entries are sent to a proxy in this batch.
 
@@ -48,17 +54,15 @@
             return
         self._restore(proxy, withdrawn_before)
         if not proxy.restored_endpoints.issuperset(endpoints):
-            self.pending_proxies[proxy.number] = True
+            self.pending_proxies.setdefault(proxy.number, self.context.now)
 
     def send(self) -> None:
         """Restore the remaining endpoints of the pending proxies, while the channel has room."""
-        for number in list(self.pending_proxies):
-            if not self.budget.has_room_for_updates():
+        for number, pending_since in list(self.pending_proxies.items()):
+            if not self.budget.has_room_for_restorations(self.context.now - pending_since):
                 return
-            proxy = self.context.connected.get(number)
-            if proxy is None or not proxy.assigned:
-                del self.pending_proxies[number]
-            elif self.budget.may_write(proxy):
+            proxy = self.context.connected[number]
+            if self.budget.may_write(proxy):
                 self._restore_remaining(proxy)
 
     def _restore_remaining(self, proxy: ProxyState) -> None:
