Telemetry: the channel event counts proxies that wait for restorations

An operator could not tell a proxy without entries from one that ejects all endpoints of its tables: the planner knows for which proxies restorations are missing, and logged nothing of it. No decision depends on it. The test fails without it; tests of the telemetry, the planner's restorations and tests/compatibility pass.

--- a/peatlead/interface.py
+++ b/peatlead/interface.py
@@ -354,3 +354,4 @@
     unassigned_proxies: int  # connected proxies without a table of this controller
     longest_wait: float  # seconds since the first unassigned proxy connected
     withdrawn_endpoints: int  # endpoints that are listed as draining or gone
+    unrestored_proxies: int  # assigned proxies that may still eject endpoints of their tables
--- a/peatlead/planner/planner.py
+++ b/peatlead/planner/planner.py
@@ -186,6 +186,7 @@
             unassigned_proxies=len(context.unassigned),
             longest_wait=now - min([proxy.connected_at for proxy in waiting], default=now),
             withdrawn_endpoints=sum(endpoint.withdrawn for endpoint in context.endpoints.values()),
+            unrestored_proxies=len(self.restorations.pending_proxies),
         )
 
     def describe(self, endpoint_id: int, now: float) -> Optional[EndpointSummary]:
--- a/peatlead/platform/telemetry.py
+++ b/peatlead/platform/telemetry.py
@@ -10,8 +10,8 @@
 There are two kinds of events. `proxies` is logged for each batch in which proxies joined, left or
 were sent a whole table, and contains the numbers of these proxies. `channel` contains the planner's
 status and the counts since the previous `channel` event. It is logged at most once in
-`STATUS_INTERVAL` seconds, and only if proxies wait for tables, entries wait in the channel or there
-are new counts. docs/on-call.md describes how to read the events.
+`STATUS_INTERVAL` seconds, and only if proxies wait for tables or for restorations, entries wait in
+the channel or there are new counts. docs/on-call.md describes how to read the events.
 """
 
 from typing import Protocol
@@ -103,7 +103,8 @@
 
     def log_status(self, status: PlannerStatus) -> None:
         """Log the planner's status and the counts, unless nothing waits and nothing was counted."""
-        if not (status.unassigned_proxies or status.queued_entries or self.counts):
+        waiting_proxies = status.unassigned_proxies + status.unrestored_proxies
+        if not (waiting_proxies or status.queued_entries or self.counts):
             return
         fields = {name: round(value, DECIMAL_PLACES) for name, value in status._asdict().items()}
         self.log("channel", **fields, since=self.counts)
--- a/tests/platform/test_telemetry.py
+++ b/tests/platform/test_telemetry.py
@@ -63,6 +63,18 @@
         )
         self.assertGreater(status.queued_entries, 0)
 
+    def test_the_status_counts_proxies_that_wait_for_restorations(self):
+        planner = make_planner(proxies_keep_ejections=True)
+        planner.budget.backlog.unacknowledged_entries = 0.3 * planner.context.settings["queue_most"]
+        planner.decide(101.0, [interface.ProxyConnected(9, 0, 5.0, True)])
+        waiting = planner.status(101.0)
+        self.assertEqual((waiting.unassigned_proxies, waiting.unrestored_proxies > 0), (0, True))
+        self.telemetry.log_status(waiting._replace(queued_entries=0.0))
+        self.assertEqual([event for event, _ in self.events], ["channel"])
+        planner.budget.backlog.unacknowledged_entries = 0.0
+        planner.decide(110.0, [interface.TimerFired(0)])
+        self.assertEqual(planner.status(110.0).unrestored_proxies, 0)
+
     def test_a_controller_logs_joins_tables_and_ends_of_streams(self):
         async def case(platform):
             proxy = await platform.connect_proxy(3)
