Tests: at rest proxies hold what their controllers hold, tables and admissions included

The courses of restorations checked ejections alone; a proxy also keeps tables, admitted fractions and retry policies from another controller or an earlier process. The stand-in of a proxy records its admissions, the simulated fleet compares both with the controller's, in all courses, and one test lets proxies return with foreign entries and fractions.

--- a/peatlead/standin/platform_proxies.py
+++ b/peatlead/standin/platform_proxies.py
@@ -14,13 +14,15 @@
 
 
 class ProxyState:
-    """The tables of one proxy by request class, and the endpoints ejected from all of them."""
+    """The tables and admissions of one proxy, and the endpoints ejected from all tables."""
 
     def __init__(self, number: int, zone: str, request_classes: Iterable[str]) -> None:
         self.number = number
         self.zone = zone
         self.request_classes = tuple(request_classes)
         self.tables: dict[str, dict[str, float]] = {name: {} for name in self.request_classes}
+        # The admitted fraction and the code of the retry policy, by request class.
+        self.admissions: dict[str, tuple[float, int]] = {}
         self.ejected: set[str] = set()
         self.received_full_table = False
         self.joined_at: Optional[float] = None  # start of the current stream
@@ -29,6 +31,10 @@
         """Apply the decoded parts of one message."""
         for part in parts:
             for request_class in part.get("routes", self.request_classes):
+                if part.get("full"):
+                    self.admissions.pop(request_class, None)
+                if "admit" in part:
+                    self.admissions[request_class] = (part["admit"], part["policy"])
                 self._update_table(self.tables[request_class], part)
             self.ejected.update(part.get("eject", ()))
             self.ejected.difference_update(part.get("restore", ()))
--- a/tests/platform/test_restorations.py
+++ b/tests/platform/test_restorations.py
@@ -56,6 +56,7 @@
         """Play a course, and check that no proxy ejects a ready endpoint of its tables at rest."""
         fleet = SimulatedPlatform(seed, **size).play(course)
         self.assertEqual(fleet.ejected_entries(), [])
+        self.assertEqual(fleet.outdated_state(), [])
         self.assertLessEqual(fleet.longest_drain, fleet.settings["drain_grace"] + TOLERANCE)
         for channel in fleet.channels.values():
             self.assertLessEqual(channel.max_waiting, fleet.settings["queue_most"])
@@ -163,6 +164,16 @@
 
         self.assert_never_empty(course)
 
+    def test_tables_and_admissions_of_another_controller_are_replaced(self):
+        async def course(fleet):
+            for proxy in fleet.proxies:
+                for request_class, table in proxy.tables.items():
+                    table["s-999"] = 1.0
+                    proxy.admissions[request_class] = (0.05, 0)
+                fleet.streams[proxy].abort("reset")
+
+        self.assert_never_empty(course)
+
     def test_a_planner_is_replaced_after_another_controller_ejected_endpoints(self):
         async def course(fleet):
             for proxy in fleet.proxies:
--- a/tests/simulated_platform.py
+++ b/tests/simulated_platform.py
@@ -13,7 +13,7 @@
 from peatlead.net.streams import LineStream
 from peatlead.platform.configuration import Configuration
 from peatlead.platform.controller import PlatformController
-from peatlead.platform.messages import Address, read_endpoint_list
+from peatlead.platform.messages import RETRY_POLICY_CODES, Address, read_endpoint_list
 from peatlead.platform.sessions import Session
 from peatlead.standin.platform_proxies import ProxyState, RateLimitedChannel
 
@@ -25,6 +25,7 @@
 READY_DELAY = 0.25  # seconds from the start of a process until it accepts connections
 REDIAL_DELAY = (0.3, 2.0)  # seconds
 RETURN_DELAY = (0.5, 15.0)  # seconds until a proxy returns to its own controller
+SETTLING_TIME = 25.0  # seconds after the last proxy has returned to its own controller
 TOLERANCE = 0.3  # seconds that the platform adds to the limits of the rules
 FLEET_SETTINGS = {
     **SETTINGS,
@@ -305,10 +306,27 @@
             for name in sorted(set().union(*proxy.tables.values()) & proxy.ejected & ready)
         ]
 
+    def outdated_state(self):
+        """Return the tables and admissions of proxies that differ from what their controllers hold."""
+        outdated = []
+        for proxy in self.proxies:
+            controller = self.controllers[self.streams[proxy].controller]
+            publisher, name = controller.publisher, controller.endpoint_tracker.endpoint_name
+            for number, request_class in enumerate(proxy.request_classes):
+                entries = publisher.tables[publisher.assigned_tables[proxy.number][number]]
+                table = {name(endpoint): round(entries[endpoint], 3) for endpoint in entries}
+                admission = publisher.admission(proxy.number, number)
+                policy = RETRY_POLICY_CODES[admission.retry_policy]
+                if table != proxy.tables[request_class]:
+                    outdated.append((proxy.number, table, proxy.tables[request_class]))
+                if (round(admission.fraction, 3), policy) != proxy.admissions[request_class]:
+                    outdated.append((proxy.number, admission, proxy.admissions[request_class]))
+        return outdated
+
     # Courses.
 
-    def play(self, course, settling_time=40.0):
-        """Start the fleet, run `course(fleet)`, and let the fleet settle."""
+    def play(self, course):
+        """Start the fleet, run `course(fleet)`, and let the fleet settle until all have returned."""
 
         async def run():
             for rank in self.channels:
@@ -320,7 +338,7 @@
                 self.world.create_task(self.connect(proxy, home))
             await asyncio.sleep(5.0)
             await course(self)
-            await asyncio.sleep(settling_time)
+            await asyncio.sleep(self.return_delay[1] + SETTLING_TIME)
 
         play(self.simulation, self.world, run(), math.inf)
         return self
