Planner: restorations wait no longer than a proxy may be without an entry

A proxy may eject all endpoints of its tables. Where proxies that answer nothing leave a twentieth of the queue unacknowledged, its restorations waited for the drain grace, which may be longer than a proxy may be without an entry. They now wait for the shorter of both, as tables of a previous controller do; max_safe_wait serves both. The new test fails without it.

--- a/peatlead/planner/channel_budget.py
+++ b/peatlead/planner/channel_budget.py
@@ -8,11 +8,12 @@
 from .channel_backlog import ChannelBacklog
 from .context import PlannerContext
 from .proxy_state import ProxyState
+from .settings import max_safe_wait
 
 MAX_CHANNEL_SLOWDOWN = 16  # factor by which the channel may be slower than its configured rate
 UPDATE_QUEUE_FRACTION = 0.25  # of the maximum queue, for updates that can be postponed
 TABLE_QUEUE_FRACTION = 0.4  # of the maximum queue, for whole tables
-# Of the maximum queue, for restorations within the drain grace.
+# Of the maximum queue, for restorations that can still wait safely.
 RESTORATION_QUEUE_FRACTION = 0.05
 UPDATE_MESSAGES_FRACTION = 0.5  # of a proxy's message limit, for updates that can be postponed
 # Of a proxy's message limit, for updates that should not wait for long.
@@ -67,11 +68,11 @@
     def has_room_for_restorations(self, waited: float) -> bool:
         """Return whether the queue has room for restorations that have waited for some seconds.
 
-        Within the drain grace they are sent only while the channel is nearly idle, so that they do
-        not delay tables and removals. After that they share the room for updates, which may keep
-        a slow channel from being idle.
+        At first they are sent only while the channel is nearly idle, so that they do not delay
+        tables and removals. After the maximum safe wait they share the room for updates, which may
+        keep a slow channel from being idle: a proxy may eject all endpoints of its tables.
         """
-        if waited > self.context.settings["drain_grace"]:
+        if waited > max_safe_wait(self.context.settings):
             return self.has_room_for_updates()
         return self.has_room(RESTORATION_QUEUE_FRACTION)
 
--- a/peatlead/planner/proxy_connections.py
+++ b/peatlead/planner/proxy_connections.py
@@ -7,6 +7,7 @@
 from .input_bounds import usable_rate
 from .proxy_state import ProxyState
 from .restorations import Restorations
+from .settings import max_safe_wait
 from .zone_capacity import ZoneCapacity
 
 # Fraction of the maximum safe time for which a proxy keeps the table of its previous controller.
@@ -64,11 +65,7 @@
         for a limited time. The table may also name endpoints that were gone before this controller
         started, and such endpoints must not be used for longer than the drain grace.
         """
-        settings = self.context.settings
-        max_time_without_entries = max(0.0, settings["bare_most"] - settings["push_delay_most"])
-        return float(
-            min(max_time_without_entries, settings["drain_grace"]) * PREVIOUS_TABLE_FRACTION
-        )
+        return max_safe_wait(self.context.settings) * PREVIOUS_TABLE_FRACTION
 
     def on_disconnected(self, event: ProxyDisconnected) -> None:
         """Remove the proxy from the connected ones, and its entries from the channel backlog."""
--- a/peatlead/planner/settings.py
+++ b/peatlead/planner/settings.py
@@ -60,3 +60,13 @@
     # Values and costs.
     price_of_crossing: NotRequired[float]  # cost of crossing zones, relative to a request's gain
     value_of_worst_kind: NotRequired[float]  # weight of the service of the worst class, 0 to 1
+
+
+def max_safe_wait(settings: PlannerSettings) -> float:
+    """Return for how many seconds a proxy may wait for new tables without harm.
+
+    All entries that it can use may have been withdrawn, and it may be without entries only for a
+    limited time, of which delivery takes a part. It may also send requests to endpoints that drain.
+    """
+    max_time_without_entries = max(0.0, settings["bare_most"] - settings["push_delay_most"])
+    return min(max_time_without_entries, settings["drain_grace"])
--- a/tests/planner/test_restorations.py
+++ b/tests/planner/test_restorations.py
@@ -11,6 +11,7 @@
 from ..helpers import SETTINGS, make_endpoint, make_planner, of_type
 
 QUEUE_LIMIT = SETTINGS["queue_most"]
+SAFE_WAIT = min(SETTINGS["drain_grace"], SETTINGS["bare_most"] - SETTINGS["push_delay_most"])
 
 
 def restored(commands):
@@ -68,19 +69,28 @@
         commands = planner.decide(101.2, [interface.TimerFired(0)])
         self.assertEqual(restored(commands)[9], sorted(entries_of(planner, 9)))
 
-    def test_restorations_older_than_the_drain_grace_wait_only_for_the_room_of_updates(self):
+    def test_restorations_past_the_safe_wait_wait_only_for_the_room_of_updates(self):
         # The updates of a slow channel would otherwise postpone them for ever.
         planner = make_planner(proxies_keep_ejections=True)
         self.connect(planner, 101.0, queued=RESTORATION_QUEUE_FRACTION * QUEUE_LIMIT)
-        overdue = 101.1 + SETTINGS["drain_grace"]
+        overdue = 101.1 + SAFE_WAIT
         for queue_fraction, is_restored in ((UPDATE_QUEUE_FRACTION, False), (0.2, True)):
             planner.budget.backlog.unacknowledged_entries = queue_fraction * QUEUE_LIMIT
             commands = planner.decide(overdue, [interface.TimerFired(0)])
             self.assertEqual(9 in restored(commands), is_restored)
 
+    def test_restorations_wait_no_longer_than_a_proxy_may_be_without_entries(self):
+        # All endpoints of its tables may be ejected.
+        planner = make_planner(proxies_keep_ejections=True, drain_grace=60.0)
+        self.connect(planner, 101.0, queued=RESTORATION_QUEUE_FRACTION * QUEUE_LIMIT)
+        planner.budget.backlog.unacknowledged_entries = 0.2 * QUEUE_LIMIT
+        no_entries_until = 101.0 + SETTINGS["bare_most"] - SETTINGS["push_delay_most"]
+        commands = planner.decide(no_entries_until + 0.1, [interface.TimerFired(0)])
+        self.assertIn(9, restored(commands))
+
     def test_the_time_that_restorations_have_waited_ends_with_the_stream(self):
         planner = make_planner(proxies_keep_ejections=True)
-        overdue = 101.1 + SETTINGS["drain_grace"]
+        overdue = 101.1 + SAFE_WAIT
         for now in (101.0, overdue):  # the second time the proxy reconnects
             commands = self.connect(planner, now, queued=0.2 * QUEUE_LIMIT)
             self.assertEqual(restored(commands), {})
