Staged updates: an empty table is filled though its proxy had half of its messages

Checked: nothing was ejected, the queue was empty, the proxy was assigned and pending; it had had 10 messages within 10 s.

Change: an empty table that can be filled may use four fifths of the messages, as a cold share that must sink may.

--- a/peatlead/planner/staged_updates.py
+++ b/peatlead/planner/staged_updates.py
@@ -53,16 +53,15 @@
         urgent = changes.weight_decrease_pending
         if not changes.pending_proxies or (context.now < self.next_stage_at and not urgent):
             return
-        messages_fraction = URGENT_MESSAGES_FRACTION if urgent else UPDATE_MESSAGES_FRACTION
-        candidates = self._shuffled_candidates(messages_fraction)
+        candidates = self._shuffled_candidates(urgent)
         max_writes = TABLES_PER_BATCH if urgent else ceil(len(context.connected) / STAGES)
         changes.weight_decrease_pending = urgent and len(candidates) > max_writes
         if changes.weight_decrease_pending:
             context.commands.append(SetTimer(CONTINUE_TIMER, CONTINUE_DELAY))
-        self._write(candidates, max_writes, messages_fraction)
+        self._write(candidates, max_writes, urgent)
         self.next_stage_at = context.now + context.rng.uniform(*STAGE_JITTER) * STAGE_INTERVAL
 
-    def _shuffled_candidates(self, messages_fraction: float) -> list[ProxyState]:
+    def _shuffled_candidates(self, urgent: bool) -> list[ProxyState]:
         """Return the proxies with pending changes that may be written to, in random order.
 
         Those with an empty table that can be filled come first.
@@ -73,13 +72,19 @@
             for proxy in self.context.connected_proxies
             if proxy.number in pending_proxies
             and proxy.assigned
-            and self.budget.may_update(proxy, messages_fraction)
+            and self._may_update(proxy, urgent)
         ]
         self.context.rng.shuffle(candidates)
         # A proxy must not be without entries for long, however often changes start a new draw.
         candidates.sort(key=lambda proxy: not self._has_table_to_fill(proxy))
         return candidates
 
+    def _may_update(self, proxy: ProxyState, urgent: bool) -> bool:
+        """Return whether a proxy may be written to now; to fill an empty table is always urgent."""
+        urgent = urgent or self._has_table_to_fill(proxy)
+        fraction = URGENT_MESSAGES_FRACTION if urgent else UPDATE_MESSAGES_FRACTION
+        return self.budget.may_update(proxy, fraction)
+
     def _has_table_to_fill(self, proxy: ProxyState) -> bool:
         """Return whether a table of the proxy is empty although endpoints are listed for it."""
         return any(
@@ -87,9 +92,7 @@
             for group, entries in enumerate(proxy.entries)
         )
 
-    def _write(
-        self, candidates: list[ProxyState], max_writes: int, messages_fraction: float
-    ) -> None:
+    def _write(self, candidates: list[ProxyState], max_writes: int, urgent: bool) -> None:
         """Write the tables of at most `max_writes` proxies.
 
         A proxy whose tables turn out to be unchanged counts only if messages are limited.
@@ -98,7 +101,7 @@
         messages_are_limited = self.context.settings["messages_most"] > 0
         for proxy in candidates:
             # The previous writes may have filled the queue.
-            if max_writes > 0 and self.budget.may_update(proxy, messages_fraction):
+            if max_writes > 0 and self._may_update(proxy, urgent):
                 commands_before = len(commands)
                 self.writer.write(proxy)
                 max_writes -= messages_are_limited or len(commands) > commands_before
--- a/tests/platform/test_restorations.py
+++ b/tests/platform/test_restorations.py
@@ -15,6 +15,7 @@
 from ..simulated_platform import TOLERANCE, SimulatedPlatform
 
 SOAK_SEEDS = range(8)
+LIMITED_MESSAGES_SEEDS = (3023, 3077, 3143)
 SOAK_EVENTS = 14
 HERD = {
     "controllers": 5,
@@ -228,6 +229,13 @@
             with self.subTest(seed=seed):
                 self.assert_never_empty(random_course, seed=seed)
 
+    def test_random_courses_with_limited_messages(self):
+        for seed in LIMITED_MESSAGES_SEEDS:
+            with self.subTest(seed=seed):
+                self.assert_never_empty(
+                    random_course, seed=seed, messages_most=20, messages_span=10.0
+                )
+
 
 async def random_course(fleet):
     """Let random events happen that change lists, streams, planners and processes."""
@@ -293,5 +301,5 @@
 if __name__ == "__main__":
     import sys
 
-    SOAK_SEEDS = range(int(sys.argv.pop(1)))
+    SOAK_SEEDS = LIMITED_MESSAGES_SEEDS = range(int(sys.argv.pop(1)))
     unittest.main(defaultTest="Soak")
