Staged updates: whether a table is to be filled is asked only where it can matter

Cause: since each stage asked up to three times for each proxy whether one of its tables is empty though endpoints are listed for it.

Change: the usual limit on messages is checked first, and a proxy without an empty table is known as such at once.

--- a/peatlead/planner/staged_updates.py
+++ b/peatlead/planner/staged_updates.py
@@ -81,12 +81,16 @@
 
     def _may_update(self, proxy: ProxyState, urgent: bool) -> bool:
         """Return whether a proxy may be written to now; to fill an empty table is always urgent."""
-        urgent = urgent or self._has_table_to_fill(proxy)
         fraction = URGENT_MESSAGES_FRACTION if urgent else UPDATE_MESSAGES_FRACTION
-        return self.budget.may_update(proxy, fraction)
+        return self.budget.may_update(proxy, fraction) or (
+            self.budget.may_update(proxy, URGENT_MESSAGES_FRACTION)
+            and self._has_table_to_fill(proxy)
+        )
 
     def _has_table_to_fill(self, proxy: ProxyState) -> bool:
         """Return whether a table of the proxy is empty although endpoints are listed for it."""
+        if all(proxy.entries):
+            return False
         return any(
             not entries and self.pools.allowed_pools(group, proxy.zone)
             for group, entries in enumerate(proxy.entries)
