Withdrawals: waiting proxies are notified by deadline, before any table

Change: notifications go before tables in every batch, by the time since which a proxy may use withdrawn endpoints, and name all of them where that costs at most half of the table. Removals go before tables, too. Where the table is shorter, or all endpoints of a table are likely to be withdrawn, the table is sent instead, also by a controller that has just started. The few entries that are always sent are limited in time, so that they can't fill the queue of a slow channel.

test_notifications_of_waiting_proxies_do_not_fill_the_queue expected tables from a channel that acknowledges nothing; notifications now go first and fill the part that is theirs. The test acknowledges, and asks more: the queue stays under three quarters in each batch, and all waiting proxies get tables.

--- a/peatlead/planner/channel_budget.py
+++ b/peatlead/planner/channel_budget.py
@@ -5,6 +5,8 @@
 other writes stop at a lower queue length.
 """
 
+from math import inf
+
 from .channel_backlog import ChannelBacklog
 from .context import PlannerContext
 from .proxy_state import ProxyState
@@ -13,13 +15,16 @@
 MAX_CHANNEL_SLOWDOWN = 16  # factor by which the channel may be slower than its configured rate
 UPDATE_QUEUE_FRACTION = 0.25  # of the maximum queue, for updates that can be postponed
 TABLE_QUEUE_FRACTION = 0.4  # of the maximum queue, for whole tables
+URGENT_TABLE_QUEUE_FRACTION = 0.6  # of the maximum queue, for tables of proxies that have none
 # Of the maximum queue, for restorations that can still wait safely.
 RESTORATION_QUEUE_FRACTION = 0.05
 UPDATE_MESSAGES_FRACTION = 0.5  # of a proxy's message limit, for updates that can be postponed
 # Of a proxy's message limit, for updates that should not wait for long.
 URGENT_MESSAGES_FRACTION = 0.8
-# Withdrawals up to this fraction of the maximum queue are always sent to unassigned proxies.
+# Withdrawals up to this fraction of the maximum queue are always sent to unassigned proxies, this
+# many times within the drain grace.
 MIN_WITHDRAWAL_QUEUE_FRACTION = 0.02
+ALLOWANCES_PER_GRACE = 4
 # Above this fraction of the maximum queue, no more withdrawals are sent to unassigned proxies.
 MAX_WITHDRAWAL_QUEUE_FRACTION = 0.5
 
@@ -33,6 +38,9 @@
         rate = settings.get("channel_rate", 1.0)
         expiry = MAX_CHANNEL_SLOWDOWN * settings.get("queue_most", 0.0) / rate  # seconds
         self.backlog = ChannelBacklog(settings.get("message_head", 0.0), expiry)
+        # Entries that may still be sent to unassigned proxies although the queue is long.
+        self.allowance = 0.0
+        self.allowance_since = -inf  # seconds
 
     def may_update(self, proxy: ProxyState, fraction: float = UPDATE_MESSAGES_FRACTION) -> bool:
         """Return whether an update of the proxy's tables that can be postponed may be sent now.
@@ -80,18 +88,32 @@
         """Return whether less than a fraction of the maximum queue is in use."""
         return bool(self.backlog.queued_entries < fraction * self.context.settings["queue_most"])
 
-    def has_room_for_withdrawals(self, total_entries: float, entries: float) -> bool:
-        """Return whether withdrawals of `entries` more may be sent to waiting proxies.
+    def has_room_for_table(self, urgent: bool) -> bool:
+        """Return whether the queue has room for a whole table.
+
+        Tables that a proxy cannot do without are `urgent`, and take precedence over withdrawals.
+        """
+        return self.has_room(URGENT_TABLE_QUEUE_FRACTION if urgent else TABLE_QUEUE_FRACTION)
+
+    def has_room_for_entries(self, entries: float, fraction: float) -> bool:
+        """Return whether more entries leave the queue below a fraction of its maximum."""
+        limit = fraction * self.context.settings["queue_most"]
+        return bool(self.backlog.queued_entries + entries < limit)
+
+    def has_room_for_withdrawals(self, entries: float) -> bool:
+        """Return whether a message of withdrawals or restorations may be sent to a waiting proxy.
 
-        A few withdrawals may always be sent. Filling the queue with withdrawals would delay the
-        tables that those proxies wait for. `total_entries` is the size of all such withdrawals of
-        this batch, including these `entries`.
+        A few of them may always be sent. Filling the queue with them would delay the tables that
+        those proxies wait for. `entries` includes the overhead of the message.
         """
-        limit = self.context.settings["queue_most"]
-        return bool(
-            total_entries < MIN_WITHDRAWAL_QUEUE_FRACTION * limit
-            or self.backlog.queued_entries + entries < MAX_WITHDRAWAL_QUEUE_FRACTION * limit
-        )
+        if self.has_room_for_entries(entries, MAX_WITHDRAWAL_QUEUE_FRACTION):
+            return True
+        settings, now = self.context.settings, self.context.now
+        if now >= self.allowance_since + settings["drain_grace"] / ALLOWANCES_PER_GRACE:
+            self.allowance_since = now
+            self.allowance = MIN_WITHDRAWAL_QUEUE_FRACTION * settings["queue_most"]
+        self.allowance -= entries
+        return self.allowance > 0
 
     def spend(self, proxy: ProxyState, entries: float) -> None:
         """Count entries that are written for a proxy.
--- a/peatlead/planner/endpoint_pools.py
+++ b/peatlead/planner/endpoint_pools.py
@@ -65,12 +65,16 @@
         self.ready_pools: dict[int, Pools] = {}  # by group
         self.previous_ready_pools: dict[int, Pools] = {}  # by group, of the list before
         self.earlier_pools: dict[int, Pools] = {}  # by group: see `previously_allowed_pools`
+        self.withdrawn: dict[Scope, frozenset[int]] = {}  # ids: see `withdrawn_endpoints`
+        self.withdrawn_counts: dict[RendezvousPool[EndpointState], int] = {}
 
     def reset(self) -> None:
         """Discard the pools after a change of the endpoint list."""
         self.previous_ready_pools = self.ready_pools or self.previous_ready_pools
         self.ready_pools = {}
         self.earlier_pools = {}
+        self.withdrawn = {}
+        self.withdrawn_counts = {}
 
     def allowed_pools(self, group: int, zone: Optional[int]) -> Pools:
         """Return the pools of ready endpoints that a group's requests from `zone` may go to.
@@ -103,6 +107,24 @@
             self.earlier_pools[group] = self._build_earlier_pools(group)
         return self._in_allowed_zones(group, zone, self.earlier_pools[group])
 
+    def withdrawn_endpoints(self, group: int, zone: int) -> frozenset[int]:
+        """Return the ids of the withdrawn endpoints that a group's requests from `zone` may use."""
+        scope = self.scope(group, zone)
+        if scope not in self.withdrawn:
+            self.withdrawn[scope] = frozenset(
+                endpoint.id
+                for pool in self.previously_allowed_pools(group, zone).values()
+                for endpoint in pool
+                if endpoint.withdrawn
+            )
+        return self.withdrawn[scope]
+
+    def withdrawn_count(self, pool: RendezvousPool[EndpointState]) -> int:
+        """Return how many endpoints of a pool of `previously_allowed_pools` are withdrawn."""
+        if pool not in self.withdrawn_counts:
+            self.withdrawn_counts[pool] = sum(endpoint.withdrawn for endpoint in pool)
+        return self.withdrawn_counts[pool]
+
     def _in_allowed_zones(self, group: int, zone: Optional[int], pools: Pools) -> Pools:
         """Return the pools of the zones that a group's requests from `zone` may go to."""
         own_zone = self.groups[group].own_zone
--- a/peatlead/planner/planner.py
+++ b/peatlead/planner/planner.py
@@ -32,6 +32,7 @@
 from .load_shedding import LoadShedding
 from .load_statistics import LoadStatistics
 from .outlier_detection import OutlierDetection
+from .previous_tables import PreviousTables
 from .proxy_connections import ProxyConnections
 from .proxy_state import ProxyState
 from .removals import Removals
@@ -121,7 +122,8 @@
             context, self.pools, self.report_round, self.writer, self.restorations, budget
         )
         self.staged_updates = StagedUpdates(context, changes, self.pools, self.writer, budget)
-        self.withdrawals = Withdrawals(context, self.pools, self.sharding, self.assignment, budget)
+        previous_tables = PreviousTables(context, self.pools, self.sharding)
+        self.withdrawals = Withdrawals(context, previous_tables, self.assignment, budget)
         self.removals = Removals(context, changes, self.writer, self.assignment, budget)
 
     def _build_evaluation(self) -> None:
@@ -162,9 +164,9 @@
                 handler(event)
         self.zone_capacity.update_if_due()
         self.table_admission.update_if_due()
-        self.assignment.assign_waiting_proxies()
         self.withdrawals.send()
         self.removals.remove_unusable_endpoints()
+        self.assignment.assign_waiting_proxies()
         self.restorations.send()
         self.staged_updates.publish_stage()
         self.restorations.send()  # those of new entries, in the same messages
--- a/peatlead/planner/proxy_connections.py
+++ b/peatlead/planner/proxy_connections.py
@@ -48,7 +48,9 @@
         proxy.assigned = False
         self.restorations.reset(proxy)
         proxy.notified_endpoints = set()
-        proxy.seen_withdrawal_count = 0
+        proxy.unnotified_since = context.now
+        proxy.needs_table = False
+        proxy.may_have_no_endpoint = False
         proxy.invalidate_tables()
         proxy.message_times.clear()
         proxy.previous_table_until = context.now + self._previous_table_lifetime() * (
--- a/peatlead/planner/proxy_state.py
+++ b/peatlead/planner/proxy_state.py
@@ -56,7 +56,13 @@
 
         # Withdrawals, while the proxy waits for its tables.
         self.notified_endpoints: set[int] = set()  # ids of endpoints whose withdrawal was sent
-        self.seen_withdrawal_count = 0  # `Withdrawals.withdrawal_count` at the last notification
+        # Since when the previous table may name withdrawn endpoints that the proxy was not notified
+        # of, in seconds; None if it was notified of all.
+        self.unnotified_since: Optional[float] = None
+        # Whether the proxy is sent its table instead of a notification.
+        self.needs_table = False
+        # Whether all endpoints of one of the previous tables may be withdrawn.
+        self.may_have_no_endpoint = False
 
     def invalidate_tables(self) -> None:
         """Cause the tables to be computed again with the next write."""
--- a/peatlead/planner/removals.py
+++ b/peatlead/planner/removals.py
@@ -49,11 +49,12 @@
     def _removal_cutoff(self) -> float:
         """Return the time until which an endpoint must have become unusable to be removed now.
 
-        While proxies wait for room in the channel, removals are delayed: these proxies connected
-        before the update that caused the newest removals, so their tables have earlier deadlines.
+        While proxies that may use withdrawn endpoints wait for room in the channel, removals are
+        delayed: these proxies connected before the update that caused the newest removals, so their
+        deadlines are earlier.
         """
         delay = REMOVAL_DELAY_FRACTION * self.context.settings["drain_grace"]
-        return float(self.context.now - self.assignment.blocked_by_queue * delay)
+        return float(self.context.now - self.assignment.deadlines_blocked * delay)
 
     def _subscribers(self, endpoints: set[int]) -> list[ProxyState]:
         """Return the connected proxies with assigned tables that hold any of the endpoints."""
--- a/peatlead/planner/restorations.py
+++ b/peatlead/planner/restorations.py
@@ -33,7 +33,8 @@
         self.pending_proxies: dict[int, float] = {}
 
     @property
-    def _is_required(self) -> bool:
+    def is_required(self) -> bool:
+        """Whether proxies keep ejections, so that the planner must restore endpoints itself."""
         return bool(self.context.settings.get("proxies_keep_ejections"))
 
     def reset(self, proxy: ProxyState) -> None:
@@ -48,11 +49,11 @@
         """
         states = self.context.endpoints
         withdrawn_before = [endpoint for endpoint in endpoints if states[endpoint].ever_withdrawn]
-        if not self._is_required:
+        if not self.is_required:
             if withdrawn_before:
                 self.budget.spend(proxy, len(withdrawn_before))
             return
-        self._restore(proxy, withdrawn_before)
+        self.restore(proxy, withdrawn_before)
         if not proxy.restored_endpoints.issuperset(endpoints):
             self.pending_proxies.setdefault(proxy.number, self.context.now)
 
@@ -75,11 +76,11 @@
         in_tables: set[int] = set().union(*proxy.entries)
         remaining = sorted(in_tables - proxy.restored_endpoints)
         ready = [endpoint for endpoint in remaining if not endpoints[endpoint].withdrawn]
-        self._restore(proxy, ready)
+        self.restore(proxy, ready)
         if len(ready) == len(remaining):
             del self.pending_proxies[proxy.number]
 
-    def _restore(self, proxy: ProxyState, endpoints: Iterable[int]) -> None:
+    def restore(self, proxy: ProxyState, endpoints: Iterable[int]) -> None:
         """Emit and count the restorations that the proxy's stream has not sent yet."""
         missing = tuple(
             endpoint for endpoint in endpoints if endpoint not in proxy.restored_endpoints
--- a/peatlead/planner/shuffle_sharding.py
+++ b/peatlead/planner/shuffle_sharding.py
@@ -56,14 +56,24 @@
         self.warm_pools = {}
 
     def shard(self, proxy: ProxyState, group: int) -> Shard:
-        """Return the current shard of a proxy for a group.
+        """Return the current shard of a proxy for a group."""
+        pools = self.pools.allowed_pools(group, proxy.zone)
+        counts = self.shard_sizes(group, proxy.zone)
+        endpoints_by_zone = {
+            zone: self._ranked(proxy, group, zone, pool, counts[zone])
+            for zone, pool in pools.items()
+        }
+        return Shard(endpoints_by_zone, pools)
 
-        The zone plan determines how the shard is divided among the zones. The shard is so large
-        that about `COVERAGE` proxies use each endpoint, but requires no more endpoints of a zone
-        than its pool has.
+    def shard_sizes(self, group: int, proxy_zone: int) -> dict[int, int]:
+        """Return how many endpoints of each zone are in the shards of a zone's proxies for a group.
+
+        The zone plan determines how a shard is divided among the zones. The shard is so large that
+        about `COVERAGE` proxies use each endpoint, but requires no more endpoints of a zone than
+        its pool has.
         """
-        pools = self.pools.allowed_pools(group, proxy.zone)
-        densities = self.zone_capacity.plan.get((group, proxy.zone), {})
+        pools = self.pools.allowed_pools(group, proxy_zone)
+        densities = self.zone_capacity.plan.get((group, proxy_zone), {})
         default_density = 0.0 if densities else 1.0
         zone_targets = {
             zone: densities.get(zone, default_density) * len(pool) for zone, pool in pools.items()
@@ -77,15 +87,12 @@
         shard_size = min(fsum(coverage_counts.values()), total_target / max_density)
         # Proxies that pick the less loaded of two endpoints need fewer endpoints of their own zone.
         zones_are_capped = self.context.settings.get("pick") == PICK_LESS_LOADED
-        endpoints_by_zone = {}
+        counts = {}
         for zone, pool in pools.items():
             max_count = coverage_counts[zone] if zones_are_capped else len(pool)
-            count = max(
-                MIN_ENDPOINTS_PER_ZONE,
-                min(round(shard_size * zone_targets[zone] / total_target), max_count),
-            )
-            endpoints_by_zone[zone] = self._ranked(proxy, group, zone, pool, count)
-        return Shard(endpoints_by_zone, pools)
+            zone_count = round(shard_size * zone_targets[zone] / total_target)
+            counts[zone] = max(MIN_ENDPOINTS_PER_ZONE, min(zone_count, max_count))
+        return counts
 
     def _ranked(
         self,
--- a/peatlead/planner/table_assignment.py
+++ b/peatlead/planner/table_assignment.py
@@ -6,6 +6,8 @@
 received a few rounds of reports.
 """
 
+from math import inf
+
 from ..interface import AssignTable, SetTimer
 from .channel_budget import ChannelBudget
 from .context import COVERAGE, PlannerContext
@@ -40,17 +42,19 @@
         self.writer = writer
         self.restorations = restorations
         self.budget = budget
-        self.blocked_by_queue = False  # whether proxies wait because the channel has no room
+        # Whether proxies wait for room in the channel that may use withdrawn endpoints meanwhile.
+        self.deadlines_blocked = False
         # Moving average of the entries for a proxy's tables and assignment.
         self.mean_cost = COVERAGE
 
     def assign_waiting_proxies(self) -> None:
         """Assign tables to waiting proxies.
 
-        Proxies whose previous tables may have no endpoint for a group come first.
+        Proxies whose previous tables may have no usable endpoint for a group come first, then those
+        that may use withdrawn endpoints, by the time since which they may.
         """
         context = self.context
-        self.blocked_by_queue = False
+        self.deadlines_blocked = False
         if not context.unassigned:
             return
         waiting = [
@@ -58,19 +62,29 @@
             for proxy in context.unassigned.values()
             if context.endpoints and not self.keeps_previous_table(proxy)
         ]
-        covers_every_group = {
-            zone: self._covers_every_group(zone) for zone in {proxy.zone: 0 for proxy in waiting}
-        }
-        for proxy in sorted(waiting, key=lambda proxy: covers_every_group[proxy.zone])[
-            :TABLES_PER_BATCH
-        ]:
-            if not self.budget.has_room():
-                self.blocked_by_queue = True
+        for proxy in self._by_urgency(waiting)[:TABLES_PER_BATCH]:
+            if not self.budget.has_room_for_table(proxy.may_have_no_endpoint):
+                self.deadlines_blocked = any(
+                    proxy.unnotified_since is not None for proxy in context.unassigned.values()
+                )
                 break
             self._assign(proxy)
         if len(waiting) > TABLES_PER_BATCH and self.budget.has_room():
             context.commands.append(SetTimer(CONTINUE_TIMER, CONTINUE_DELAY))
 
+    def _by_urgency(self, waiting: list[ProxyState]) -> list[ProxyState]:
+        """Return the waiting proxies in the order in which they get tables."""
+        covers_every_group = {
+            zone: self._covers_every_group(zone) for zone in {proxy.zone: 0 for proxy in waiting}
+        }
+
+        def urgency(proxy: ProxyState) -> tuple[bool, float]:
+            since = proxy.unnotified_since
+            has_endpoints = covers_every_group[proxy.zone] and not proxy.may_have_no_endpoint
+            return has_endpoints, inf if since is None else since
+
+        return sorted(waiting, key=urgency)
+
     def _covers_every_group(self, zone: int) -> bool:
         """Return whether every group may use endpoints of the zone.
 
@@ -89,30 +103,44 @@
             table = proxy.first_table + number
             classes = tuple(group.request_classes)
             self.context.commands.append(AssignTable(proxy.number, table, classes))
-            self.budget.spend(proxy, self._assignment_cost(proxy, number))
+            self.budget.spend(proxy, self._assignment_cost(len(proxy.entries[number])))
             self.restorations.add_entries(proxy, proxy.entries[number])
         self.mean_cost += (
             self.budget.backlog.queued_entries - entries_before - self.mean_cost
         ) / COST_WINDOW
 
-    def _assignment_cost(self, proxy: ProxyState, group: int) -> int:
-        """Return the entries for an assignment, its table and its admissions."""
-        return 1 + len(proxy.entries[group]) + len(self.context.settings["req_kinds"])
+    def _assignment_cost(self, entries: int) -> int:
+        """Return the cost of an assignment, of a table of some entries and of its admissions."""
+        return 1 + entries + len(self.context.settings["req_kinds"])
+
+    def expected_cost(self, proxy: ProxyState) -> float:
+        """Return what the message with a waiting proxy's tables will cost, in entries."""
+        shard_sizes = self.writer.sharding.shard_sizes
+        tables = [
+            self._assignment_cost(sum(shard_sizes(group, proxy.zone).values()))
+            for group in range(len(self.pools.groups))
+        ]
+        return sum(tables) + self.context.settings["message_head"] + 1
 
     def keeps_previous_table(self, proxy: ProxyState) -> bool:
-        """Return whether the proxy keeps the table of its previous controller for now."""
+        """Return whether the proxy keeps the table of its previous controller for now.
+
+        A table that names mostly withdrawn endpoints is replaced at once.
+        """
         few_reports = self.report_round.completed_rounds < MIN_REPORT_ROUNDS
-        return self.context.now < proxy.previous_table_until and few_reports
+        in_time = self.context.now < proxy.previous_table_until
+        return few_reports and in_time and not proxy.needs_table
 
     def tables_fit_in_time(self) -> bool:
         """Return whether all waiting proxies get their tables in time at the configured rate.
 
-        The time ends when the proxy that connected first has waited for as long as the drain grace
-        and the delivery of a message permit.
+        The time ends when the first proxy has been able to use a withdrawn endpoint, without a
+        notification, for as long as the drain grace and the delivery of a message permit.
         """
         context, settings = self.context, self.context.settings
-        first_connected_at = min([proxy.connected_at for proxy in context.unassigned.values()])
-        waited = context.now - first_connected_at
+        unnotified_since = [proxy.unnotified_since for proxy in context.unassigned.values()]
+        first_since = min([since for since in unnotified_since if since is not None])
+        waited = context.now - first_since
         remaining = settings["drain_grace"] - settings["push_delay_most"] - waited
         entries = self.budget.backlog.queued_entries + len(context.unassigned) * self.mean_cost
         return bool(entries < remaining * settings["channel_rate"])
--- a/peatlead/planner/withdrawals.py
+++ b/peatlead/planner/withdrawals.py
@@ -2,25 +2,21 @@
 
 A withdrawal is sent once. Proxies with tables of this controller lose the endpoint's entries by
 separate writes. Proxies that still wait for tables are notified of the endpoints that their
-previous table may name. A notification costs one entry, whereas a whole table costs about a dozen
-entries and may have to wait for room in the channel.
+previous table may name. The drain grace limits how long that may take, so notifications are sent
+in the order of their deadlines and before any table: a notification is shorter than a table.
 """
 
-from math import ceil
-
 from ..interface import WithdrawEndpoint
 from .channel_budget import ChannelBudget
 from .context import PlannerContext
-from .endpoint_pools import EndpointPools
 from .endpoint_state import EndpointState
+from .previous_tables import PreviousTables
 from .proxy_state import ProxyState
-from .shuffle_sharding import MIN_ENDPOINTS_PER_ZONE, ShuffleSharding
 from .table_assignment import TableAssignment
 
-# Factor for the size of a shard: how many of the first endpoints in a proxy's order its previous
-# table may have named.
-PREVIOUS_TABLE_FACTOR = 1.25
-RETRIES_PER_GRACE = 4  # attempts to notify the remaining proxies, within the drain grace
+# A notification names all withdrawn endpoints if that costs at most this fraction of a table;
+# otherwise it names those that the previous table is likely to name.
+MAX_FULL_NOTIFICATION_COST = 1 / 2
 
 
 class Withdrawals:
@@ -29,19 +25,15 @@
     def __init__(
         self,
         context: PlannerContext,
-        pools: EndpointPools,
-        sharding: ShuffleSharding,
+        previous_tables: PreviousTables,
         assignment: TableAssignment,
         budget: ChannelBudget,
     ) -> None:
         self.context = context
-        self.pools = pools
-        self.sharding = sharding
+        self.previous_tables = previous_tables
         self.assignment = assignment
         self.budget = budget
         self.newly_withdrawn: list[int] = []  # ids of endpoints withdrawn in this batch
-        self.withdrawal_count = 0  # withdrawals since the start
-        self.retry_at = 0.0  # seconds, when the remaining proxies are notified next
 
     def set_withdrawn(self, endpoint: EndpointState, withdrawn: bool) -> None:
         """Withdraw or restore the endpoint, as the list requires."""
@@ -61,7 +53,6 @@
             context.subscriber_index.subscribers(endpoint.id), True
         )
         self.newly_withdrawn.append(endpoint.id)
-        self.withdrawal_count += 1
         # Channels that notify the subscribers by themselves send one entry more to each of them.
         for number in endpoint.notified_proxies:
             if number in context.connected:
@@ -90,74 +81,79 @@
         proxies_to_notify: dict[int, list[int]] = {
             endpoint: [] for endpoint in self.newly_withdrawn
         }
+        if self.newly_withdrawn:
+            self._start_deadlines()
         self.newly_withdrawn = []
-        if proxies_to_notify or self.context.now >= self.retry_at:
-            self._notify_waiting(proxies_to_notify)
+        self._notify_waiting(proxies_to_notify)
         self.context.commands += [
             WithdrawEndpoint(endpoint, True, tuple(proxies))
             for endpoint, proxies in proxies_to_notify.items()
         ]
 
+    def _start_deadlines(self) -> None:
+        """Note for all waiting proxies that there are withdrawals they were not notified of."""
+        for proxy in self.context.unassigned.values():
+            proxy.needs_table = False
+            if proxy.unnotified_since is None:
+                proxy.unnotified_since = self.context.now
+
     def _notify_waiting(self, proxies_to_notify: dict[int, list[int]]) -> None:
         """Add waiting proxies to `proxies_to_notify`, by endpoint, while the channel has room."""
-        context = self.context
-        unnotified = self._unnotified_proxies()
-        grace = context.settings["drain_grace"]
-        self.retry_at = context.now + grace / RETRIES_PER_GRACE if unnotified else 0.0
-        overhead = context.settings["message_head"]
-        total_entries = 0.0
-        for proxy in unnotified:
-            endpoints = self._likely_in_previous_table(proxy) - proxy.notified_endpoints
-            total_entries += len(endpoints) + overhead + 1
-            if not self.budget.has_room_for_withdrawals(
-                total_entries, len(endpoints) + overhead + 1
-            ):
-                break  # the proxies' tables take precedence
-            proxy.seen_withdrawal_count = self.withdrawal_count
-            proxy.notified_endpoints |= endpoints
-            proxy.restored_endpoints -= endpoints
-            if endpoints:
-                self.budget.spend(proxy, len(endpoints))
-            for endpoint in sorted(endpoints):
-                context.endpoints[endpoint].notified_proxies[proxy.number] = True
-                context.endpoints[endpoint].ejecting_proxies.add(proxy.number)
-                proxies_to_notify.setdefault(endpoint, []).append(proxy.number)
+        overhead = self.context.settings["message_head"] + 1
+        for proxy in self._unnotified_proxies():
+            endpoints = self._endpoints_to_name(proxy)
+            if proxy.needs_table:
+                continue
+            if endpoints and not self.budget.has_room_for_withdrawals(len(endpoints) + overhead):
+                break
+            self._notify(proxy, endpoints, proxies_to_notify)
+
+    def _notify(
+        self, proxy: ProxyState, endpoints: set[int], proxies_to_notify: dict[int, list[int]]
+    ) -> None:
+        """Add a waiting proxy to `proxies_to_notify` for each of the endpoints."""
+        proxy.unnotified_since = None
+        proxy.notified_endpoints |= endpoints
+        proxy.restored_endpoints -= endpoints
+        if endpoints:
+            self.budget.spend(proxy, len(endpoints))
+        for endpoint in sorted(endpoints):
+            state = self.context.endpoints[endpoint]
+            state.notified_proxies[proxy.number] = True
+            state.ejecting_proxies.add(proxy.number)
+            proxies_to_notify.setdefault(endpoint, []).append(proxy.number)
 
     def _unnotified_proxies(self) -> list[ProxyState]:
-        """Return the waiting proxies that must be notified of a withdrawal.
+        """Return the waiting proxies that must be notified, those with the first deadline first.
 
         If all waiting proxies get their tables in time, only those that keep their previous table
         must be notified.
         """
-        waiting = self.context.unassigned.values()
-        unnotified = [
-            proxy for proxy in waiting if proxy.seen_withdrawal_count < self.withdrawal_count
-        ]
+        by_deadline = sorted(
+            [
+                (proxy.unnotified_since, position, proxy)
+                for position, proxy in enumerate(self.context.unassigned.values())
+                if proxy.unnotified_since is not None and not proxy.needs_table
+            ]
+        )
+        unnotified = [proxy for _, _, proxy in by_deadline]
         if unnotified and self.assignment.tables_fit_in_time():
             return [proxy for proxy in unnotified if self.assignment.keeps_previous_table(proxy)]
         return unnotified
 
-    def _likely_in_previous_table(self, proxy: ProxyState) -> set[int]:
-        """Return the ids of withdrawn endpoints that a waiting proxy's previous table may name.
+    def _endpoints_to_name(self, proxy: ProxyState) -> set[int]:
+        """Return the withdrawn endpoints that a notification of the proxy names.
 
-        All controllers rank endpoints in the same order, so the previous table was drawn from the
-        first endpoints of that order among those that the list at that time allowed.
+        Sets `needs_table` of a proxy that may have no endpoint left, or whose table can be sent at
+        a lower cost: the table also ends the use of every endpoint that it does not name.
         """
-        endpoints = self.context.endpoints
-        endpoint_ids = {
-            endpoint
-            for entries in proxy.entries
-            for endpoint in entries
-            if endpoints[endpoint].withdrawn
-        }
-        for group in range(len(self.pools.groups)):
-            shard = self.sharding.shard(proxy, group)
-            for zone, pool in self.pools.previously_allowed_pools(group, proxy.zone).items():
-                current_pool_size = len(shard.pools.get(zone, ()))
-                current_count = len(shard.endpoints_by_zone.get(zone, ()))
-                previous_count = max(
-                    MIN_ENDPOINTS_PER_ZONE, current_count * len(pool) / max(1, current_pool_size)
-                )
-                candidates = pool.top(proxy.key, ceil(PREVIOUS_TABLE_FACTOR * previous_count))
-                endpoint_ids.update([endpoint.id for endpoint in candidates if endpoint.withdrawn])
-        return endpoint_ids
+        overhead = self.context.settings["message_head"] + 1
+        table_cost = self.assignment.expected_cost(proxy)
+        endpoints = self.previous_tables.possible(proxy) - proxy.notified_endpoints
+        if not endpoints:
+            return endpoints
+        proxy.may_have_no_endpoint = self.previous_tables.may_be_unusable(proxy)
+        if len(endpoints) + overhead > MAX_FULL_NOTIFICATION_COST * table_cost:
+            endpoints = self.previous_tables.likely(proxy) - proxy.notified_endpoints
+        proxy.needs_table = proxy.may_have_no_endpoint or len(endpoints) + overhead >= table_cost
+        return endpoints
--- a/tests/planner/test_withdrawals.py
+++ b/tests/planner/test_withdrawals.py
@@ -57,9 +57,62 @@
         self.assertEqual(list(publisher.route([interface.WithdrawEndpoint(3, True)])[0]), [11])
         planner.budget.backlog.unacknowledged_entries = 0.0
         planner.budget.backlog.batches.clear()
-        commands = [
-            command
-            for tick in range(60)
-            for command in planner.decide(101.2 + tick / 10, [interface.TimerFired(0)])
-        ]
-        self.assertTrue(of_type(commands, interface.AssignTable))
+        commands, nonces = [], []
+        for tick in range(60):
+            acknowledged = [
+                interface.Acknowledged(number, nonce.nonce, 0.1)
+                for nonce in nonces
+                for number in range(40)
+            ]
+            batch = planner.decide(101.2 + tick / 10, [interface.TimerFired(0), *acknowledged])
+            nonces = of_type(batch, interface.RequestAcknowledgement)
+            commands += batch
+            self.assertLess(planner.budget.backlog.queued_entries, 0.75 * 400.0)
+        assigned = {command.proxy for command in of_type(commands, interface.AssignTable)}
+        self.assertLessEqual(set(range(10, 40)), assigned)
+
+    def test_a_waiting_proxy_is_notified_before_other_proxies_get_tables(self):
+        # Guards against tables that fill the channel while others send to draining endpoints.
+        planner = make_planner(endpoints=60, proxies=1, **{"queue_most": 800.0})
+        planner.settings["channel_rate"] = 100.0
+        planner.decide(101.0, [interface.EndpointUpdate("changes", 2, draining(6))])
+        joins = [interface.ProxyConnected(number, 0, 10.0, False) for number in range(10, 40)]
+        commands = planner.decide(101.1, joins)
+        notified = {
+            proxy
+            for command in of_type(commands, interface.WithdrawEndpoint)
+            for proxy in command.notify
+        }
+        self.assertTrue(notified)
+        still_unnotified = {
+            number for number in planner.unassigned if planner.proxies[number].unnotified_since
+        }
+        self.assertEqual(still_unnotified, set(range(10, 40)) - notified)
+        self.assertEqual(min(still_unnotified, default=40), max(notified) + 1)
+        self.assertFalse(of_type(commands, interface.AssignTable))
+
+    def test_a_proxy_that_may_have_no_endpoint_left_gets_its_table_first(self):
+        # Guards against proxies that wait without an endpoint until all others were notified.
+        planner = make_planner(endpoints=120, proxies=4, queue_most=2000.0, channel_rate=100.0)
+        planner.settings["proxies"] = 200
+        planner.context.expected_proxies = 200.0
+        joins = [interface.ProxyConnected(number, 0, 10.0, False) for number in range(10, 40)]
+        planner.report_round.completed_rounds = 0  # proxies keep their previous tables at first
+        planner.decide(101.0, joins)
+        withdrawn = {end.id for ends in self.shard_of(planner, 39).values() for end in ends}
+        self.assertLess(len(withdrawn), 60)
+        drain = tuple(make_endpoint(number, number % 2, "draining") for number in sorted(withdrawn))
+        commands = planner.decide(101.1, [interface.EndpointUpdate("changes", 2, drain)])
+        assigned = [command.proxy for command in of_type(commands, interface.AssignTable)]
+        self.assertIn(39, assigned)
+        self.assertNotIn(
+            39,
+            {
+                proxy
+                for command in of_type(commands, interface.WithdrawEndpoint)
+                for proxy in command.notify
+            },
+        )
+
+    def shard_of(self, planner, proxy):
+        return planner.sharding.shard(planner.proxies[proxy], 0).endpoints_by_zone
--- a/tests/simulated_platform.py
+++ b/tests/simulated_platform.py
@@ -69,9 +69,11 @@
 
 
 class SimulatedPlatform:
-    """Controllers, proxies and the endpoint list; the second request class stays in its zone.
+    """Controllers, proxies and the endpoint list.
 
-    `settings` override FLEET_SETTINGS.
+    `settings` override FLEET_SETTINGS. Requests of the classes `own_zone_classes` stay in the zone
+    of their proxy. The channels have `channel_slowdown` times less than the configured rate, and a
+    message reaches its proxy after a time drawn from `delivery_delay`, in seconds.
     """
 
     def __init__(
@@ -82,6 +84,10 @@
         endpoints=18,
         zones=3,
         return_delay=RETURN_DELAY,
+        redial_delay=REDIAL_DELAY,
+        delivery_delay=(0.0, 0.0),
+        channel_slowdown=1.0,
+        own_zone_classes=("pay",),
         **settings,
     ):
         self.simulation = Simulation(seed)
@@ -89,6 +95,8 @@
         self.rng = self.simulation.rng
         self.zones = [f"z{number}" for number in range(zones)]
         self.return_delay = return_delay
+        self.redial_delay = redial_delay
+        self.delivery_delay = delivery_delay
         self.settings = {
             **FLEET_SETTINGS,
             **settings,
@@ -96,7 +104,7 @@
             "stewards": controllers,
             "proxies": proxies,
             "req_kinds": [
-                {**request_class, "own_zone": request_class["name"] == "pay"}
+                {**request_class, "own_zone": request_class["name"] in own_zone_classes}
                 for request_class in SETTINGS["req_kinds"]
             ],
         }
@@ -109,8 +117,9 @@
         self.controllers = {}
         self.processes = {}
         self.starts = 0
+        rate = self.settings["channel_rate"] / channel_slowdown
         self.channels = {
-            rank: RateLimitedChannel(self.settings["channel_rate"], self.settings["message_head"])
+            rank: RateLimitedChannel(rate, self.settings["message_head"])
             for rank in range(controllers)
         }
         classes = [request_class["name"] for request_class in SETTINGS["req_kinds"]]
@@ -120,6 +129,7 @@
         self.streams = {}
         self.empty_since = {}
         self.longest_empty = 0.0  # seconds that a joined proxy had no line of its zone's class
+        self.last_arrivals = {}  # by proxy, in seconds
         self.drained_at = {}
         self.longest_drain = 0.0
 
@@ -253,7 +263,7 @@
             return
         del self.streams[stream.proxy]
         self.world.call_later(
-            self.rng.uniform(*REDIAL_DELAY),
+            self.rng.uniform(*self.redial_delay),
             lambda: self.world.create_task(
                 self.connect(stream.proxy, (stream.controller + 1) % len(self.channels))
             ),
@@ -263,10 +273,22 @@
         while True:
             for channel in self.channels.values():
                 for message in channel.take_due(self.simulation.now):
-                    self.deliver(message)
+                    self.deliver_later(message)
             self.check_rules(self.simulation.now)
             await asyncio.sleep(CHECK_INTERVAL)
 
+    def deliver_later(self, message):
+        """Deliver a message after its delay, and after those that left the channel before it."""
+        if not any(self.delivery_delay):
+            self.deliver(message)
+            return
+        proxy, now = message.stream.proxy, self.simulation.now
+        arrives_at = max(
+            now + self.rng.uniform(*self.delivery_delay), self.last_arrivals.get(proxy, 0.0)
+        )
+        self.last_arrivals[proxy] = arrives_at
+        self.world.call_later(arrives_at - now, self.deliver, message)
+
     def deliver(self, message):
         stream = message.stream
         if self.streams.get(stream.proxy) is not stream:
