Withdrawals: endpoints that come back do not fill the channel's queue

Seen: when endpoints that waiting proxies had been notified of came back, each proxy was sent a restoration for each endpoint in one batch.

Cause: Withdrawals._restore had no bound, since notifications were few.

Change: at once while the queue stays under three quarters of its limit. Otherwise a waiting proxy's restorations go out in one message as there is room, before its table; a proxy with tables gets them with the new entries. Channels that restore endpoints themselves are unchanged.

--- a/peatlead/planner/channel_budget.py
+++ b/peatlead/planner/channel_budget.py
@@ -27,6 +27,7 @@
 ALLOWANCES_PER_GRACE = 4
 # Above this fraction of the maximum queue, no more withdrawals are sent to unassigned proxies.
 MAX_WITHDRAWAL_QUEUE_FRACTION = 0.5
+MAX_ENTRIES_FRACTION = 0.75  # of the maximum queue, for entries that many proxies are sent at once
 
 
 class ChannelBudget:
@@ -95,7 +96,7 @@
         """
         return self.has_room(URGENT_TABLE_QUEUE_FRACTION if urgent else TABLE_QUEUE_FRACTION)
 
-    def has_room_for_entries(self, entries: float, fraction: float) -> bool:
+    def has_room_for_entries(self, entries: float, fraction: float = MAX_ENTRIES_FRACTION) -> bool:
         """Return whether more entries leave the queue below a fraction of its maximum."""
         limit = fraction * self.context.settings["queue_most"]
         return bool(self.backlog.queued_entries + entries < limit)
--- a/peatlead/planner/planner.py
+++ b/peatlead/planner/planner.py
@@ -123,7 +123,9 @@
         )
         self.staged_updates = StagedUpdates(context, changes, self.pools, self.writer, budget)
         previous_tables = PreviousTables(context, self.pools, self.sharding)
-        self.withdrawals = Withdrawals(context, previous_tables, self.assignment, budget)
+        self.withdrawals = Withdrawals(
+            context, previous_tables, self.assignment, self.restorations, budget
+        )
         self.removals = Removals(context, changes, self.writer, self.assignment, budget)
 
     def _build_evaluation(self) -> None:
--- a/peatlead/planner/proxy_connections.py
+++ b/peatlead/planner/proxy_connections.py
@@ -51,6 +51,7 @@
         proxy.unnotified_since = context.now
         proxy.needs_table = False
         proxy.may_have_no_endpoint = False
+        proxy.returned_endpoints = set()
         proxy.invalidate_tables()
         proxy.message_times.clear()
         proxy.previous_table_until = context.now + self._previous_table_lifetime() * (
--- a/peatlead/planner/proxy_state.py
+++ b/peatlead/planner/proxy_state.py
@@ -59,6 +59,8 @@
         # Since when the previous table may name withdrawn endpoints that the proxy was not notified
         # of, in seconds; None if it was notified of all.
         self.unnotified_since: Optional[float] = None
+        # Ids of endpoints that are ready again, and that the proxy still ejects.
+        self.returned_endpoints: set[int] = set()
         # Whether the proxy is sent its table instead of a notification.
         self.needs_table = False
         # Whether all endpoints of one of the previous tables may be withdrawn.
--- a/peatlead/planner/table_assignment.py
+++ b/peatlead/planner/table_assignment.py
@@ -98,6 +98,7 @@
         entries_before = self.budget.backlog.queued_entries
         self.writer.write(proxy)
         proxy.assigned = True
+        proxy.returned_endpoints = set()  # restored with the entries
         del self.context.unassigned[proxy.number]
         for number, group in enumerate(self.pools.groups):
             table = proxy.first_table + number
--- a/peatlead/planner/withdrawals.py
+++ b/peatlead/planner/withdrawals.py
@@ -12,6 +12,7 @@
 from .endpoint_state import EndpointState
 from .previous_tables import PreviousTables
 from .proxy_state import ProxyState
+from .restorations import Restorations
 from .table_assignment import TableAssignment
 
 # A notification names all withdrawn endpoints if that costs at most this fraction of a table;
@@ -27,11 +28,13 @@
         context: PlannerContext,
         previous_tables: PreviousTables,
         assignment: TableAssignment,
+        restorations: Restorations,
         budget: ChannelBudget,
     ) -> None:
         self.context = context
         self.previous_tables = previous_tables
         self.assignment = assignment
+        self.restorations = restorations
         self.budget = budget
         self.newly_withdrawn: list[int] = []  # ids of endpoints withdrawn in this batch
 
@@ -41,6 +44,8 @@
         endpoint.withdrawn_at = self.context.now
         endpoint.ever_withdrawn = True
         if withdrawn:
+            for proxy in self.context.unassigned.values():
+                proxy.returned_endpoints.discard(endpoint.id)  # it still ejects the endpoint
             self._withdraw(endpoint)
         else:
             self._restore(endpoint)
@@ -59,20 +64,33 @@
                 self.budget.backlog.add_entries(number, 1, False)
 
     def _restore(self, endpoint: EndpointState) -> None:
-        """Emit the restoration, and count one entry for each proxy that was notified."""
+        """Restore the endpoint at the proxies that were notified, now or while there is room."""
         context = self.context
+        notified = [number for number in endpoint.notified_proxies if number in context.connected]
+        if self.restorations.is_required and not self.budget.has_room_for_entries(len(notified)):
+            self._restore_later(endpoint)
+            return
         context.commands.append(WithdrawEndpoint(endpoint.id, False))
         for proxy in context.unassigned.values():
             proxy.notified_endpoints.discard(endpoint.id)
-        for number in endpoint.notified_proxies:
-            if number in context.connected:
-                self.budget.spend(context.connected[number], 1)
+        for number in notified:
+            self.budget.spend(context.connected[number], 1)
         for number in endpoint.ejecting_proxies:
             if number in context.connected:
                 context.connected[number].restored_endpoints.add(endpoint.id)
         endpoint.notified_proxies = {}
         endpoint.ejecting_proxies = set()
 
+    def _restore_later(self, endpoint: EndpointState) -> None:
+        """Note the endpoint for the proxies that eject it, to be restored while there is room.
+
+        A proxy that has tables of this controller is sent the restoration with the new entry.
+        """
+        endpoint.notified_proxies = {}
+        for proxy in self.context.unassigned.values():
+            if endpoint.id in proxy.notified_endpoints:
+                proxy.returned_endpoints.add(endpoint.id)
+
     def send(self) -> None:
         """Emit the withdrawals of this batch.
 
@@ -85,6 +103,7 @@
             self._start_deadlines()
         self.newly_withdrawn = []
         self._notify_waiting(proxies_to_notify)
+        self._restore_returned_endpoints()
         self.context.commands += [
             WithdrawEndpoint(endpoint, True, tuple(proxies))
             for endpoint, proxies in proxies_to_notify.items()
@@ -108,6 +127,20 @@
                 break
             self._notify(proxy, endpoints, proxies_to_notify)
 
+    def _restore_returned_endpoints(self) -> None:
+        """Restore endpoints at waiting proxies that still eject them, while there is room."""
+        overhead = self.context.settings["message_head"] + 1
+        for proxy in self.context.unassigned.values():
+            if not proxy.returned_endpoints:
+                continue
+            if not self.budget.has_room_for_withdrawals(len(proxy.returned_endpoints) + overhead):
+                return
+            for endpoint in proxy.returned_endpoints:
+                self.context.endpoints[endpoint].ejecting_proxies.discard(proxy.number)
+            self.restorations.restore(proxy, sorted(proxy.returned_endpoints))
+            proxy.notified_endpoints -= proxy.returned_endpoints
+            proxy.returned_endpoints = set()
+
     def _notify(
         self, proxy: ProxyState, endpoints: set[int], proxies_to_notify: dict[int, list[int]]
     ) -> None:
--- a/tests/planner/test_withdrawals.py
+++ b/tests/planner/test_withdrawals.py
@@ -116,3 +116,47 @@
 
     def shard_of(self, planner, proxy):
         return planner.sharding.shard(planner.proxies[proxy], 0).endpoints_by_zone
+
+    def test_returned_endpoints_are_restored_at_waiting_proxies_without_filling_the_queue(self):
+        # Guards against one restoration for each endpoint and waiting proxy in one batch.
+        planner = make_planner(endpoints=60, proxies=1, proxies_keep_ejections=True)
+        queue_limit = planner.settings["queue_most"]
+        numbers = range(10, 60)
+        planner.decide(
+            101.0, [interface.ProxyConnected(number, 0, 10.0, False) for number in numbers]
+        )
+        planner.decide(101.1, [interface.EndpointUpdate("changes", 2, draining(12))])
+        for number in numbers:  # the channel was slow, and all were notified in the end
+            proxy = planner.proxies[number]
+            proxy.notified_endpoints = set(range(12))
+            proxy.unnotified_since = None
+            for endpoint in range(12):
+                planner.endpoints[endpoint].notified_proxies[number] = True
+                planner.endpoints[endpoint].ejecting_proxies.add(number)
+        planner.budget.backlog.unacknowledged_entries = 0.7 * queue_limit
+        back = tuple(make_endpoint(number, number % 2, "ready", 101.0) for number in range(12))
+        commands = planner.decide(101.2, [interface.EndpointUpdate("changes", 3, back)])
+        self.assertLess(planner.budget.backlog.queued_entries, queue_limit)
+        at_once = {
+            command.endpoint
+            for command in of_type(commands, interface.WithdrawEndpoint)
+            if not command.withdrawn
+        }
+        self.assertLess(len(at_once), 12)
+        restored = []
+        for tick in range(100):
+            planner.budget.backlog.unacknowledged_entries = 0.0
+            planner.budget.backlog.batches.clear()
+            commands = planner.decide(101.3 + tick / 10, [interface.TimerFired(0)])
+            self.assertLess(planner.budget.backlog.queued_entries, queue_limit)
+            restored += of_type(commands, interface.RestoreEndpoints)
+        pairs = {(command.proxy, end) for command in restored for end in command.endpoints}
+        in_tables = {
+            (number, end)
+            for number in numbers
+            for entries in planner.proxies[number].entries
+            for end in entries
+            if end < 12 and end not in at_once
+        }
+        self.assertTrue(in_tables)
+        self.assertEqual(in_tables - pairs, set())
--- a/tests/platform/test_herd_drains.py
+++ b/tests/platform/test_herd_drains.py
@@ -100,6 +100,19 @@
 
         self.assert_drained_in_time(course)
 
+    def test_endpoints_return_while_the_herd_waits_for_tables(self):
+        # Guards against a restoration for each endpoint and each waiting proxy in one batch.
+        async def course(fleet):
+            async def drain_for_a_moment():
+                names = fleet.rng.sample(fleet.names, 2 * STEP)
+                fleet.tell(names, "leaving")
+                await asyncio.sleep(1.8)
+                fleet.tell(names, "active", restarted=False)
+
+            await asyncio.gather(kill_others(fleet, 0.2), drain_for_a_moment())
+
+        self.assert_drained_in_time(course)
+
     def test_a_slow_channel_keeps_its_queue_within_the_limit(self):
         # At an eighth of its rate the channel cannot carry the removals of the release at all.
         fleet = SimulatedPlatform(1, **RELEASE, channel_slowdown=8.0)
