Streams: a turn handles received data for 5 ms, and little data first

Cause: asyncio reads from every ready connection before anything else runs, and each read handled up to 64 KiB, 4,000 lines. A turn grew with the number of busy peers.

Change: received data is handled for 5 ms in a turn. What is left waits, unread further, and is served by weighted fair queueing in slices of 4 KiB; a slice costs its size and the time that it took. All ports use it, since it is in the base class of their streams. Data of an aborted or lost connection is dropped. On simulated time handling takes no time, and nothing changes.

--- a/peatlead/dns/server.py
+++ b/peatlead/dns/server.py
@@ -98,11 +98,15 @@
         """Remove this connection from the server's set of connections."""
         self.server.connections.remove(self)
 
+    def incomplete_bytes(self) -> int:
+        """Return the size of the incomplete query."""
+        return len(self.incomplete_message)
+
     def received(self, data: bytes) -> None:
         """Answer all complete queries in the received data."""
         data = self.incomplete_message + data
         start = 0
-        while len(data) - start >= TCP_LENGTH_BYTES:
+        while len(data) - start >= TCP_LENGTH_BYTES and not self.aborted:
             size = int.from_bytes(data[start : start + TCP_LENGTH_BYTES], "big")
             end = start + TCP_LENGTH_BYTES + size
             if len(data) < end:
--- a/peatlead/net/in_memory_transport.py
+++ b/peatlead/net/in_memory_transport.py
@@ -26,6 +26,12 @@
         """Return 0: written data is never buffered."""
         return 0
 
+    def pause_reading(self) -> None:
+        """Do nothing: the caller passes data to the protocol itself."""
+
+    def resume_reading(self) -> None:
+        """Do nothing."""
+
     def is_closing(self) -> bool:
         """Return whether the protocol has closed or aborted the transport."""
         return self.closed
--- a/peatlead/net/streams.py
+++ b/peatlead/net/streams.py
@@ -4,9 +4,11 @@
 from collections.abc import Awaitable
 from typing import Any, TypeVar, cast
 
+from .read_scheduler import ReadScheduler, read_scheduler
+
 Result = TypeVar("Result")
 
-READ_BUFFER_BYTES = 64 << 10  # maximum size of one read
+READ_BUFFER_BYTES = 16 << 10  # maximum size of one read
 MAX_UNSENT_BYTES = 1 << 20  # default limit of the write buffer
 MAX_LINE_BYTES = 1 << 20  # default limit of one line
 
@@ -34,7 +36,9 @@
     timeout), and when more than `max_unsent_bytes` bytes wait for the peer to read them.
     """
 
-    loop: asyncio.AbstractEventLoop  # set when the connection is made
+    # Set when the connection is made.
+    loop: asyncio.AbstractEventLoop
+    read_scheduler: ReadScheduler
 
     def __init__(self, idle_timeout: float = 0.0, max_unsent_bytes: int = MAX_UNSENT_BYTES) -> None:
         self.idle_timeout = idle_timeout
@@ -44,6 +48,10 @@
         self.last_activity = 0.0  # seconds on the loop's clock
         self.idle_timer: asyncio.TimerHandle | None = None  # for the next `check_idle`
         self.close_reason: str | None = None  # why this side ended the connection
+        self.aborted = False
+        # For the read scheduler.
+        self.service_tag = 0.0
+        self.unhandled_data = b""
 
     def opened(self) -> None:
         """Handle the start of the connection."""
@@ -54,16 +62,22 @@
     def ended(self, reason: str) -> None:
         """Handle the end of the connection."""
 
+    @property
+    def accepts_data(self) -> bool:
+        """Whether received data is still handled: not after the end or an abort."""
+        return self.transport is not None and not self.aborted
+
     def send(self, data: bytes) -> bool:
         """Write the data; return False if the connection is closed or the peer reads too slowly."""
         if self.transport is None or self.transport.is_closing():
             return False
         self.last_activity = self.loop.time()
         self.transport.write(data)
-        if self.transport.get_write_buffer_size() > self.max_unsent_bytes:
+        unsent = self.transport.get_write_buffer_size()
+        if unsent > self.max_unsent_bytes:
             self.abort("slow reader")
             return False
-        return True
+        return not self.aborted
 
     def close(self) -> None:
         """Close the connection after sending buffered data."""
@@ -72,6 +86,7 @@
 
     def abort(self, reason: str) -> None:
         """Close the connection immediately; buffered data is lost."""
+        self.aborted = True
         self.close_reason = self.close_reason or reason
         if self.transport is not None:
             self.transport.abort()
@@ -80,6 +95,7 @@
         """Start the idle timer and call `opened` (asyncio callback)."""
         self.loop = asyncio.get_running_loop()
         self.transport = cast(asyncio.Transport, transport)
+        self.read_scheduler = read_scheduler(self.loop)
         self.peer_address = transport.get_extra_info("peername")
         self.last_activity = self.loop.time()
         if self.idle_timeout:
@@ -91,9 +107,26 @@
         return READ_BUFFER
 
     def buffer_updated(self, size: int) -> None:
-        """Pass a copy of the bytes read to `received` (asyncio callback)."""
+        """Pass a copy of the bytes read to `received`, now or in a later turn of the event loop.
+
+        This is an asyncio callback.
+        """
         self.last_activity = self.loop.time()
-        self.received(bytes(READ_BUFFER_VIEW[:size]))
+        self.read_scheduler.receive(self, bytes(READ_BUFFER_VIEW[:size]))
+
+    def handle_data(self, data: bytes) -> None:
+        """Pass received data to `received`."""
+        self.received(data)
+
+    def pause_reading(self) -> None:
+        """Receive no more data."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Receive data again."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
 
     def eof_received(self) -> bool:
         """Return False: close the connection when the peer closes its side (asyncio callback)."""
@@ -104,6 +137,7 @@
         if self.idle_timer is not None:
             self.idle_timer.cancel()
         self.transport = None
+        self.unhandled_data = b""
         self.ended(self.close_reason or (type(error).__name__ if error else "closed"))
 
     def check_idle(self) -> None:
@@ -179,6 +213,8 @@
             complete_lines = [bytes(self.partial_line), *later_pieces[:-1]]
             self.partial_line = bytearray(later_pieces[-1])
             for line in complete_lines:
+                if self.aborted:
+                    return
                 self.line_received(line)
         if len(self.partial_line) > self.max_line_bytes:
             self.abort("line too long")
