Streams: what all peers together make a process hold is bounded by its memory

Seen: 600 proxies that joined and stopped after 1,000 KiB of a message made a controller with a limit of 192 MiB hold 627 MiB. A process over its limit is killed, and all of its proxies lose their controller.

Cause: a line may have 1 MiB and a peer may leave 128 KiB unread, times the connections; nothing bounded the sum, and limits.memory_mb was not read. The same on the ports for DNS over TCP, gRPC and operators.

Change: what all streams of a process hold, incomplete or unread, may be a quarter of its memory limit: limits.memory_mb on the platform (192 if absent), the new setting limits(memory_most = ...) elsewhere (256 MiB). Over that the connection that holds most is cut, so that a slow peer, which holds little, does not pay.

--- a/peatlead/controller/controller.py
+++ b/peatlead/controller/controller.py
@@ -3,6 +3,7 @@
 `Controller` composes the parts of a controller; each part has its own module.
 """
 
+import asyncio
 from collections.abc import Callable, Collection, Mapping, Sequence
 from random import Random
 from typing import Any
@@ -13,6 +14,7 @@
 from ..dns.server import DnsServer
 from ..dns.views import Views
 from ..fleet.gossip import GossipNode
+from ..net.buffer_budget import buffer_budget
 from ..planner.planner import Planner
 from ..sources.file_watch import FileSource
 from .answer_freshness import AnswerFreshness
@@ -36,6 +38,7 @@
 # Added to the controller's seed, so that the parts have independent random generators.
 SECONDARIES_SEED_OFFSET = 7
 OVERLOAD_SEED_OFFSET = 11
+BUFFER_MEMORY_FRACTION = 0.25  # of the memory limit, for what peers make the controller buffer
 
 DEFAULT_BOOT = b"\1" * 8
 
@@ -66,6 +69,7 @@
         wall_clock: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._read_settings(settings, name)
+        self._limit_buffers()
         seed: int = self.own_settings["seed"]
         super().__init__(
             create_planner(
@@ -107,6 +111,11 @@
         # The planner's number of each view, by the view's index.
         self.view_numbers: list[int] = [view.number for view in self.views.views]
 
+    def _limit_buffers(self) -> None:
+        """Limit what clients and proxies can make this controller buffer."""
+        memory = self.settings["limits"]["memory_most"]
+        buffer_budget(asyncio.get_running_loop()).limit = int(BUFFER_MEMORY_FRACTION * memory)
+
     def _register_command_handlers(self) -> None:
         """Register handlers for the commands that concern this controller itself."""
         self.command_handlers.update(
--- a/peatlead/grpc/http2.py
+++ b/peatlead/grpc/http2.py
@@ -117,6 +117,7 @@
         self.last_received_at = 0.0  # when the last data of the peer arrived
         self.on_end: Callable[[str], object] = ignore_end
         self.connection_count: Callable[[], int] = lambda: 0
+        self.unparsed_bytes = 0  # received since the last complete frame or header list
 
     @property
     def is_open(self) -> bool:
@@ -187,13 +188,24 @@
         if data:
             self.send(data)
 
+    def incomplete_bytes(self) -> int:
+        """Returns the size of incomplete frames and messages, and of what waits for a window."""
+        calls = self.calls.values()
+        return self.unparsed_bytes + sum(
+            len(call.deframer.buffer) + call.backlog_size for call in calls
+        )
+
     # Incoming frames.
 
     def received(self, data: bytes) -> None:
         """Handles data of the peer; closes the connection if the data violates HTTP/2."""
         self.last_received_at = self.loop.time()
         try:
-            for event in self.h2_connection.receive_data(data):
+            events = self.h2_connection.receive_data(data)
+            self.unparsed_bytes = 0 if events else self.unparsed_bytes + len(data)
+            for event in events:
+                if self.aborted:
+                    return
                 self._on_event(event)
         except (h2.exceptions.ProtocolError, UnicodeDecodeError, ValueError) as error:
             self.flush()  # the GOAWAY frame of the h2 library
--- a/peatlead/net/streams.py
+++ b/peatlead/net/streams.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from typing import Any, TypeVar, cast
 
+from .buffer_budget import BufferBudget, buffer_budget
 from .read_scheduler import ReadScheduler, read_scheduler
 
 Result = TypeVar("Result")
@@ -33,12 +34,14 @@
     """One connection. Subclasses override `opened`, `received` and `ended`.
 
     The connection is aborted after `idle_timeout` seconds without a byte in either direction (0: no
-    timeout), and when more than `max_unsent_bytes` bytes wait for the peer to read them.
+    timeout), and when more than `max_unsent_bytes` bytes wait for the peer to read them. What all
+    streams of an event loop buffer together is limited by its `BufferBudget`.
     """
 
     # Set when the connection is made.
     loop: asyncio.AbstractEventLoop
     read_scheduler: ReadScheduler
+    buffer_budget: BufferBudget
 
     def __init__(self, idle_timeout: float = 0.0, max_unsent_bytes: int = MAX_UNSENT_BYTES) -> None:
         self.idle_timeout = idle_timeout
@@ -62,6 +65,15 @@
     def ended(self, reason: str) -> None:
         """Handle the end of the connection."""
 
+    def incomplete_bytes(self) -> int:
+        """Return the size of received data that is kept until more of it arrives."""
+        return 0
+
+    def held_bytes(self) -> int:
+        """Return the bytes that wait for more input, for their turn, or for the peer to read."""
+        unsent = 0 if self.transport is None else self.transport.get_write_buffer_size()
+        return self.incomplete_bytes() + len(self.unhandled_data) + unsent
+
     @property
     def accepts_data(self) -> bool:
         """Whether received data is still handled: not after the end or an abort."""
@@ -77,6 +89,8 @@
         if unsent > self.max_unsent_bytes:
             self.abort("slow reader")
             return False
+        if unsent:
+            self.buffer_budget.update(self)
         return not self.aborted
 
     def close(self) -> None:
@@ -96,6 +110,7 @@
         self.loop = asyncio.get_running_loop()
         self.transport = cast(asyncio.Transport, transport)
         self.read_scheduler = read_scheduler(self.loop)
+        self.buffer_budget = buffer_budget(self.loop)
         self.peer_address = transport.get_extra_info("peername")
         self.last_activity = self.loop.time()
         if self.idle_timeout:
@@ -113,10 +128,14 @@
         """
         self.last_activity = self.loop.time()
         self.read_scheduler.receive(self, bytes(READ_BUFFER_VIEW[:size]))
+        if self.unhandled_data:
+            self.buffer_budget.update(self)
 
     def handle_data(self, data: bytes) -> None:
-        """Pass received data to `received`."""
+        """Pass received data to `received`, and measure what is kept of it."""
         self.received(data)
+        if self.transport is not None:
+            self.buffer_budget.update(self)
 
     def pause_reading(self) -> None:
         """Receive no more data."""
@@ -138,6 +157,7 @@
             self.idle_timer.cancel()
         self.transport = None
         self.unhandled_data = b""
+        self.buffer_budget.remove(self)
         self.ended(self.close_reason or (type(error).__name__ if error else "closed"))
 
     def check_idle(self) -> None:
@@ -201,6 +221,10 @@
     def line_received(self, data: bytes) -> None:
         """Handle one line, without its newline."""
 
+    def incomplete_bytes(self) -> int:
+        """Return the size of the incomplete line."""
+        return len(self.partial_line)
+
     def received(self, data: bytes) -> None:
         """Split the data into lines; abort the connection if a line is too long.
 
--- a/peatlead/platform/configuration.py
+++ b/peatlead/platform/configuration.py
@@ -22,6 +22,8 @@
 from .shared_types import Settings
 
 PATH_VARIABLE = "NODE_CONFIG"
+MEBIBYTE = 1 << 20
+DEFAULT_MEMORY = 192 * MEBIBYTE  # bytes
 
 
 class ConfigurationError(Exception):
@@ -35,8 +37,9 @@
 class Configuration(NamedTuple):
     """A valid configuration.
 
-    `sockets` is the maximum number of open file descriptors, `settings` are the planner's settings,
-    and `remembered_list` is the last endpoint list that this controller received.
+    `sockets` is the maximum number of open file descriptors, `memory` the maximum memory of the
+    process in bytes, `settings` are the planner's settings, and `remembered_list` is the last
+    endpoint list that this controller received.
     """
 
     name: str
@@ -46,6 +49,7 @@
     sockets: int
     settings: Settings
     remembered_list: Optional[EndpointList]
+    memory: int = DEFAULT_MEMORY
 
 
 def read_configuration(environ: Mapping[str, str], unix_time: float) -> Configuration:
@@ -72,6 +76,7 @@
         sockets=document.limits.sockets,
         settings=read_settings(document, path),
         remembered_list=remembered_list,
+        memory=int(document.limits.memory_mb * MEBIBYTE),
     )
 
 
--- a/peatlead/platform/controller.py
+++ b/peatlead/platform/controller.py
@@ -12,6 +12,7 @@
 from ..controller.batch_loop import BatchLoop
 from ..controller.message import Operations
 from ..controller.publisher import Publisher
+from ..net.buffer_budget import buffer_budget
 from ..planner.planner import Planner
 from ..sources.endpoint_list import EndpointList
 from .clock import WallClock
@@ -39,6 +40,7 @@
 # seconds for the whole stop.
 STOP_TIMEOUT = 0.4
 FORGET_INTERVAL = 5.0  # seconds between calls of `forget_unused_endpoints`
+BUFFER_MEMORY_FRACTION = 0.25  # of the memory limit, for what peers make the controller buffer
 MAX_DIFFERENCES_LOGGED = 20  # differing names of a new configuration
 
 MakePlanner = Callable[[Settings, int], Planner]  # takes the settings and a seed
@@ -89,6 +91,7 @@
     def open_transports(self) -> None:
         """Create the listener, the watch and the prober without starting them."""
         configuration = self.configuration
+        buffer_budget(self.loop).limit = int(configuration.memory * BUFFER_MEMORY_FRACTION)
         max_checks = max_concurrent_checks(configuration.sockets)
         self.listener = SessionListener(self, configuration.sockets, max_checks)
         self.watch = EndpointWatch(
--- a/peatlead/platform/messages/configuration_document.py
+++ b/peatlead/platform/messages/configuration_document.py
@@ -9,9 +9,14 @@
 
 
 class Limits(Struct, frozen=True):
-    """Limits of the process; `sockets` is the maximum number of open file descriptors."""
+    """Limits of the process.
+
+    `sockets` is the maximum number of open file descriptors, and `memory_mb` the maximum memory, in
+    MiB, above which the platform kills the process.
+    """
 
     sockets: Annotated[int, Meta(ge=32)] = 1024
+    memory_mb: Annotated[float, Meta(gt=0)] = 192.0
 
 
 class ConfigurationDocument(Struct):
--- a/peatlead/settings/schema.py
+++ b/peatlead/settings/schema.py
@@ -92,6 +92,11 @@
             REQUIRED,
             "seconds of load above tip_multiple that make a cold host fail",
         ),
+        "memory_most": Field(
+            number(64 << 20, 1 << 40),
+            256 << 20,
+            "memory of a steward in bytes: what clients can make it hold is bounded by parts of it",
+        ),
         "queue_most": Field(
             number(1.0), 4000.0, "maximum number of entries queued in a steward's channel"
         ),
