DNS: prepared answers are bounded in bytes, not in number alone

Seen: 10,000 sources that repeat one question made the controller hold 87 MiB of prepared answers, about 430 for the 50,000 that `prepared_most` allows.

Cause: a prepared answer builds up to 64 bodies later, which nothing counted.

Change: prepared answers and bodies are counted; over a quarter of limits(memory_most = ...) all are dropped, as before at `prepared_most`.

The new test failed on the text before: 8.8 MB held where 1 MiB is allowed.

--- a/peatlead/dns/answer_cache.py
+++ b/peatlead/dns/answer_cache.py
@@ -10,6 +10,8 @@
 
 from .message_format import ID_BYTES
 
+PREPARED_ANSWER_BYTES = 1024  # memory of a prepared answer, in addition to its query and bodies
+BODY_OVERHEAD_BYTES = 128  # memory of a body, in addition to its data
 COUNTS_START = 2  # offset of the record counts in a header without its id
 COUNTS_END = 10
 
@@ -54,6 +56,9 @@
     def record(self, endpoint: int, family: int, ttl: int) -> bytes:
         """Return an address record in wire form."""
 
+    def count_prepared_bytes(self, size: int) -> None:
+        """Count memory that prepared answers take."""
+
 
 class PreparedAnswer:
     """The answers to one query, built when they are first needed.
@@ -124,6 +129,7 @@
         counts = struct.pack(">HHHH", 1, len(records), 0, 1 if self.tail else 0)
         body = flags + counts + question + b"".join(records) + self.tail
         self.bodies[order] = body
+        self.context.count_prepared_bytes(BODY_OVERHEAD_BYTES + len(body))
         return body
 
 
@@ -134,14 +140,17 @@
         # By transport, then by peer, then by query.
         self.by_transport: dict[bool, dict[str, dict[bytes, PreparedAnswer]]] = {}
         self.size = 0  # number of prepared answers
+        self.held_bytes = 0  # approximate memory; bodies that are dropped alone stay counted
         self.clear()
 
     def clear(self) -> None:
         """Drop all prepared answers."""
         self.by_transport = {False: {}, True: {}}
         self.size = 0
+        self.held_bytes = 0
 
     def add(self, query: bytes, peer: str, tcp: bool, prepared_answer: PreparedAnswer) -> None:
         """Add the prepared answer to a query."""
         self.by_transport[tcp].setdefault(peer, {})[query[ID_BYTES:]] = prepared_answer
         self.size += 1
+        self.held_bytes += PREPARED_ANSWER_BYTES + len(query)
--- a/peatlead/dns/answers.py
+++ b/peatlead/dns/answers.py
@@ -41,6 +41,7 @@
 
 CYCLE_LENGTH = 64  # orders in a cycle
 MAX_SERIAL = 0xFFFFFFFF
+PREPARED_MEMORY_FRACTION = 0.25  # of the memory limit, for prepared answers
 ANY_TTL = 3789  # seconds; of the HINFO record that answers ANY (RFC 8482 section 4.2)
 TRANSFER_TYPES = (dns.rdatatype.AXFR, dns.rdatatype.IXFR)
 COUNTERS = ("asked", "malformed", "refused", "unknown", "empty", "truncated", "flushed")
@@ -64,6 +65,8 @@
         random_uniform: Callable[[float, float], float],
     ) -> None:
         self.settings: Mapping[str, Any] = settings["dns"]
+        # Maximum memory of prepared answers, in bytes.
+        self.max_prepared_bytes = PREPARED_MEMORY_FRACTION * settings["limits"]["memory_most"]
         self.views = views
         self.random_uniform = random_uniform
         self.ttl: int = self.settings["lifetime"]  # seconds
@@ -130,6 +133,15 @@
         self.cache.clear()
         self.counts["flushed"] += 1
 
+    def count_prepared_bytes(self, size: int) -> None:
+        """Count memory of prepared answers, and drop all if there is too much of it.
+
+        Clients can ask the same question in any number of ways, and each way has its own answers.
+        """
+        self.cache.held_bytes += size
+        if self.cache.held_bytes > self.max_prepared_bytes:
+            self.flush()
+
     def respond(self, data: bytes, peer: str, tcp: bool = False) -> bytes | list[bytes] | None:
         """Return the answer to a query, or None if the query must not be answered.
 
--- a/tests/dns/test_answers.py
+++ b/tests/dns/test_answers.py
@@ -1,6 +1,7 @@
 """Answers to DNS queries, in wire form."""
 
 import random
+import tracemalloc
 import unittest
 from collections import Counter
 
@@ -64,6 +65,22 @@
         )
         self.assertEqual(set(first_addresses.values()), {32})
 
+    def test_ever_new_queries_do_not_hold_ever_more_memory(self):
+        # Guards against clients that ask the same question in ever new ways, again and again.
+        answers = make_answers({number: 1.0 for number in range(30)}, addresses=8)
+        answers.max_prepared_bytes = 1 << 20
+        query = dns.message.make_query("api.example.org", "A", use_edns=0).to_wire()
+        tracemalloc.start()
+        try:
+            for number in range(1000):
+                for _ in range(70):
+                    answers.respond(query, f"10.1.{number // 250}.{number % 250}")
+            held, _ = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertLess(held, 1 << 20)
+        self.assertTrue(answers.respond(query, "10.1.0.1"))
+
     def test_an_answer_that_is_not_cacheable_has_ttl_0(self):
         self.assertEqual(ask(make_answers(cacheable=False)).answer[0].ttl, 0)
 
