HTTP: an answer takes no more memory than its size, a health check's 64 KiB

Seen: an answer in chunks of two bytes made the client hold 26 MB for 4 MiB, with up to 24 health checks at a time; any endpoint could answer with 4 MiB.

Cause: the body was a list with an object for each chunk, headers were bounded by their bytes alone, and a health check had the limit of an endpoint list.

Change: the body is one buffer, 256 headers at most, 64 KiB for the answer of a health check. Discovery keeps 4 MiB.

--- a/peatlead/health/prober.py
+++ b/peatlead/health/prober.py
@@ -13,6 +13,8 @@
 from ..interface import HealthCheckOutcome, LoadReport
 from ..net.http import Header, RequestFailedError, Response, connect
 
+MAX_RESPONSE_BYTES = 64 << 10  # body of a response; a load report takes a few hundred bytes
+
 
 class ProbeSettings(TypedDict):
     """The settings that a prober uses, with the names of the settings file."""
@@ -83,7 +85,9 @@
         load_report = request_counts = connection = None
         deadline = started_at + self.settings["deadline"]
         try:
-            connection = await connect(loop, address, deadline, self.local_address)
+            connection = await connect(
+                loop, address, deadline, self.local_address, MAX_RESPONSE_BYTES
+            )
             headers = [("host", address[0]), ("connection", "close"), *self.extra_headers()]
             response = await connection.send_request(
                 "GET", self.settings["path"], headers, b"", deadline
--- a/peatlead/net/http/client.py
+++ b/peatlead/net/http/client.py
@@ -56,8 +56,8 @@
 class ResponseMessage(Message):
     """The response that a client connection is receiving."""
 
-    def __init__(self, connection: "ClientConnection") -> None:
-        super().__init__()
+    def __init__(self, connection: "ClientConnection", max_body_bytes: int) -> None:
+        super().__init__(max_body_bytes)
         self.connection = connection
 
     def on_message_complete(self) -> None:
@@ -66,11 +66,15 @@
 
 
 class ClientConnection(Stream):
-    """A client's connection to a server, for one request at a time."""
+    """A client's connection to a server, for one request at a time.
+
+    A response with a body of more than `max_body_bytes` bytes fails its request.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         super().__init__()
-        self.response_message = ResponseMessage(self)
+        self.max_received_bytes = max_body_bytes + MAX_HEAD_BYTES
+        self.response_message = ResponseMessage(self, max_body_bytes)
         self.parser = httptools.HttpResponseParser(self.response_message)
         # The response to the current request; None if no request is pending.
         self.pending_response: asyncio.Future[Response] | None = None
@@ -124,7 +128,7 @@
         self.received_bytes += len(data)
         if (
             self.pending_response is None
-            or self.received_bytes > MAX_BODY_BYTES + MAX_HEAD_BYTES
+            or self.received_bytes > self.max_received_bytes
             or feed_parser(self.parser, data) is not None
         ):
             self.fail_request(RequestOutcome.BROKEN)
@@ -137,7 +141,7 @@
             return
         self.keep_alive = self.keep_alive and self.parser.should_keep_alive()
         if self.pending_response is not None and not self.pending_response.done():
-            body = b"".join(self.response_message.body)
+            body = bytes(self.response_message.body)
             self.pending_response.set_result(
                 Response(status, self.response_message.headers, body, self.keep_alive)
             )
@@ -154,14 +158,18 @@
     address: tuple[str, int],
     deadline: float,
     local_address: str | None = None,
+    max_body_bytes: int = MAX_BODY_BYTES,
 ) -> ClientConnection:
     """Open a connection to the host and port `address`, from `local_address` if given.
 
-    `deadline` is a time of the event loop's clock, in seconds. Raises RequestFailedError.
+    `max_body_bytes` limits the body of each response. `deadline` is a time of the event loop's
+    clock, in seconds. Raises RequestFailedError.
     """
     try:
         opening = loop.create_connection(
-            ClientConnection, *address, local_addr=(local_address, 0) if local_address else None
+            lambda: ClientConnection(max_body_bytes),
+            *address,
+            local_addr=(local_address, 0) if local_address else None,
         )
         _, connection = await with_timeout(max(0.0, deadline - loop.time()), opening)
         return connection
--- a/peatlead/net/http/message.py
+++ b/peatlead/net/http/message.py
@@ -8,6 +8,7 @@
 
 MAX_BODY_BYTES = 4 << 20
 MAX_HEAD_BYTES = 64 << 10  # request target plus all header names and values
+MAX_HEADERS = 256  # a header of a few bytes takes much more memory than that
 
 # Headers that must not be repeated. With several values, an intermediary and the server could
 # disagree on where a message ends or which host it is for (RFC 9112, sections 3.2 and 6.3).
@@ -45,19 +46,21 @@
 class Message:
     """Collects one message at a time from httptools' callbacks.
 
-    Subclasses override `on_message_complete`.
+    Subclasses override `on_message_complete`. `max_body_bytes` limits the body.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+        self.max_body_bytes = max_body_bytes
         self.on_message_begin()
 
     def on_message_begin(self) -> None:
         """Start a new message."""
         self.target = b""  # stays empty in a response
         self.headers: dict[str, str] = {}  # by lower-case name
-        self.body: list[bytes] = []
-        self.body_bytes = 0
+        # One buffer: as objects of their own, the chunks of a body may take many times its size.
+        self.body = bytearray()
         self.head_bytes = 0
+        self.header_count = 0
 
     def on_url(self, data: bytes) -> None:
         """Append to the request's target."""
@@ -67,6 +70,9 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; raises InvalidMessageError if one of SINGLE_HEADERS is repeated."""
         self.count_head_bytes(len(name) + len(value))
+        self.header_count += 1
+        if self.header_count > MAX_HEADERS:
+            raise InvalidMessageError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         lower_name = name.decode("latin-1").lower()
         if lower_name in self.headers and lower_name in SINGLE_HEADERS:
             raise InvalidMessageError(HTTPStatus.BAD_REQUEST)
@@ -79,11 +85,10 @@
             raise InvalidMessageError(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
 
     def on_body(self, data: bytes) -> None:
-        """Append to the body; raises InvalidMessageError above MAX_BODY_BYTES."""
-        self.body_bytes += len(data)
-        if self.body_bytes > MAX_BODY_BYTES:
+        """Append to the body; raises InvalidMessageError above the maximum size."""
+        if len(self.body) + len(data) > self.max_body_bytes:
             raise InvalidMessageError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        self.body.append(data)
+        self.body += data
 
     def on_message_complete(self) -> None:
         """Handle a complete message."""
--- a/peatlead/net/http/server.py
+++ b/peatlead/net/http/server.py
@@ -75,7 +75,7 @@
             method=self.parser.get_method().decode("latin-1"),
             target=message.target.decode("latin-1"),
             headers=message.headers,
-            body=b"".join(message.body),
+            body=bytes(message.body),
             keep_alive=self.parser.should_keep_alive(),
         )
         self.pipelined_requests.append(request)
--- a/tests/net/test_http.py
+++ b/tests/net/test_http.py
@@ -1,8 +1,10 @@
 """HTTP/1.1 requests received by a server, and responses received by a client."""
 
 import asyncio
+import tracemalloc
 import unittest
 
+from peatlead.health.prober import MAX_RESPONSE_BYTES
 from peatlead.net import http
 from peatlead.net.http import ClientConnection, RequestFailedError, ServerConnection, encode_message
 from peatlead.net.in_memory_transport import InMemoryTransport
@@ -143,6 +145,44 @@
             await task
         self.assertEqual(broken.exception.outcome, "broken")
 
+    async def peak_memory(self, *chunks, **connection_options):
+        """Return the outcome of a request with these chunks as answer, and the peak memory."""
+        connection, transport = ClientConnection(**connection_options), InMemoryTransport()
+        connection.connection_made(transport)
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(
+            connection.send_request("GET", "/", [("host", "x")], b"", loop.time() + 60)
+        )
+        await asyncio.sleep(0)
+        tracemalloc.start()
+        try:
+            for data in chunks:
+                if not transport.closed:
+                    connection.received(data)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        with self.assertRaises(RequestFailedError) as failed:
+            await task
+        return failed.exception.outcome, peak
+
+    async def test_a_body_in_tiny_chunks_takes_no_more_than_its_size(self):
+        # Guards against answers of discovery and health checks that never end.
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        pieces = [b"2\r\nxy\r\n" * 10_000] * 100
+        outcome, peak = await self.peak_memory(head, *pieces)
+        self.assertEqual(outcome, "broken")
+        self.assertLess(peak, 2 * http.MAX_BODY_BYTES)
+        outcome, peak = await self.peak_memory(head, *pieces, max_body_bytes=MAX_RESPONSE_BYTES)
+        self.assertEqual(outcome, "broken")
+        self.assertLess(peak, 1 << 20)
+
+    async def test_an_answer_with_very_many_headers_fails(self):
+        headers = b"".join(b"h%x:\r\n" % number for number in range(5000))
+        outcome, peak = await self.peak_memory(b"HTTP/1.1 200 OK\r\n", headers)
+        self.assertEqual(outcome, "broken")
+        self.assertLess(peak, 256 << 10)
+
     async def test_a_header_value_with_a_line_break_is_an_error(self):
         for value in ("a\r\nreq-id: 2", "a\nb", "a\rb"):
             with self.assertRaises(ValueError):
