gRPC: calls count as control frames, and a server's call keeps no headers

Seen: a client that opens calls which are refused at once was not limited, while resets were; the HTTP/2 library keeps a record of up to 65,536 ended streams for each connection.

Cause: only resets, pings, settings and the like were counted, and the request's headers (up to 16 KiB) stayed as long as their call.

Change: a call counts as a control frame, 200 in 10 s; proxies need two.

--- a/peatlead/grpc/http2.py
+++ b/peatlead/grpc/http2.py
@@ -249,7 +249,9 @@
         headers: Metadata = dict(event.headers)
         call = Call(self, event.stream_id, headers.get(":path", ""))
         self.calls[event.stream_id] = call
-        call.peer_metadata = headers
+        self._count_control_frame()  # h2 keeps a record of each stream, also of those that ended
+        if self.aborted:
+            return
         is_grpc = headers.get("content-type", "").startswith(GRPC_CONTENT_TYPE)
         if headers.get(":method") != "POST" or not is_grpc:
             self.h2_connection.send_headers(event.stream_id, [(":status", "415")], end_stream=True)
--- a/tests/controller/test_hostile_peers.py
+++ b/tests/controller/test_hostile_peers.py
@@ -1,6 +1,7 @@
 """Hostile peers on every TCP port of the DNS controller: what they make it hold, and who pays."""
 
 import asyncio
+import contextlib
 import json
 import unittest
 
@@ -101,6 +102,37 @@
     def test_grpc_header_lists_that_do_not_end(self):
         self.assert_budget_is_kept(2, many_headers(), connection_start(), True)
 
+    def test_a_grpc_connection_that_opens_calls_at_full_speed_is_ended(self):
+        # Each call of a connection leaves a record, also after its end.
+        async def case(world):
+            await world.start_controller()
+            reader, writer = await asyncio.open_connection("127.1.0.1", world.port + 2)
+            client = h2.connection.H2Connection(h2.config.H2Configuration(header_encoding="utf-8"))
+            client.initiate_connection()
+            opened = 0
+            with contextlib.suppress(OSError):
+                for number in range(1000):
+                    client.send_headers(
+                        2 * number + 1,
+                        [
+                            (":method", "GET"),
+                            (":scheme", "http"),
+                            (":path", f"/{number}"),
+                            (":authority", "x"),
+                        ],
+                        end_stream=True,
+                    )
+                    writer.write(client.data_to_send())
+                    await writer.drain()
+                    opened += 1
+                    client.receive_data(await reader.read(KIBIBYTE))
+                    if client.state_machine.state is h2.connection.ConnectionState.CLOSED:
+                        break
+            writer.transport.abort()
+            return opened
+
+        self.assertLessEqual(run_with_standins(case, script=GRPC_SCRIPT), 250)
+
 
 if __name__ == "__main__":
     unittest.main()
