Parsers: a digit that is no decimal is refused, as other malformed text

Seen: a grpc-timeout, a table version, a line key, a log's name or a port with a superscript digit raised Python's own ValueError; the timeout cut the connection.

Cause: str.isdigit accepts such digits, int does not.

Change: isdecimal.

Measured: the extended tests of timeouts, versions and line keys fail with isdigit.

--- a/peatlead/cli/tables.py
+++ b/peatlead/cli/tables.py
@@ -280,7 +280,7 @@
     """Restore earlier tables, as far as the current endpoints allow, and pin proxies to them."""
     if (to is None) == (back is None):
         raise click.UsageError("expected one of --to and --back")
-    if to and to.replace(".", "").isdigit() and "." in to:
+    if to and to.replace(".", "").isdecimal() and "." in to:
         send_pin(file, "version", to, options)
     elif to:
         send_pin(file, "back", str(time.time() - parse_time(to)), options)
--- a/peatlead/grpc/framing.py
+++ b/peatlead/grpc/framing.py
@@ -86,7 +86,7 @@
 def parse_timeout(value: str) -> Optional[float]:
     """Returns the seconds of a `grpc-timeout` header, or None if it is invalid."""
     digits, unit = value[:-1], value[-1:]
-    if len(value) > MAX_TIMEOUT_SIZE or not digits.isdigit() or unit not in TIMEOUT_UNITS:
+    if len(value) > MAX_TIMEOUT_SIZE or not digits.isdecimal() or unit not in TIMEOUT_UNITS:
         return None
     return int(digits) * TIMEOUT_UNITS[unit]
 
--- a/peatlead/grpc/http2.py
+++ b/peatlead/grpc/http2.py
@@ -280,7 +280,7 @@
             call.finish(StatusCode.OK)
             return
         status = call.peer_metadata.get("grpc-status", "")
-        status_code = int(status) if status.isdigit() else StatusCode.UNKNOWN
+        status_code = int(status) if status.isdecimal() else StatusCode.UNKNOWN
         call.end(status_code, call.peer_metadata.get("grpc-message", ""))
 
     def _on_stream_reset(self, _: Any, call: Optional[Call]) -> None:
--- a/peatlead/settings/checks.py
+++ b/peatlead/settings/checks.py
@@ -118,7 +118,7 @@
 def address_and_port(value: Any) -> tuple[str, int]:
     """Check for `ADDRESS:PORT`, with an IPv6 address in brackets; return address and port."""
     host, _, port = text(value).rpartition(":")
-    if not port.isdigit() or not 0 < int(port) < 65536:
+    if not port.isdecimal() or not 0 < int(port) < 65536:
         raise expectation_error("ADDRESS:PORT", value)
     return address(host.strip("[]")), int(port)
 
--- a/peatlead/tables/change_causes.py
+++ b/peatlead/tables/change_causes.py
@@ -69,7 +69,7 @@
         endpoint.
         """
         subject, *rest = text.split(" ")
-        if subject != "endpoint" or len(rest) < 2 or not rest[0].isdigit():
+        if subject != "endpoint" or len(rest) < 2 or not rest[0].isdecimal():
             return None
         event = EndpointEvent(int(rest[0]), " ".join(rest[1:]))
         self.last_events[event.endpoint] = event.text
--- a/peatlead/tables/items.py
+++ b/peatlead/tables/items.py
@@ -56,7 +56,7 @@
     zone, _, endpoint = rest.rpartition("/")
     address, _, port = endpoint.rpartition(":")
     is_named = part == TablePart.LINE and request_class and address
-    if not is_named or not port.isdigit() or not 0 < int(port) <= PORT_MAX:
+    if not is_named or not port.isdecimal() or not 0 < int(port) <= PORT_MAX:
         raise KeyFormatError(
             f"expected line/CLASS/ZONE/ADDRESS:PORT, got {key[:KEY_CHARACTERS_SHOWN_MAX]!r}"
         )
--- a/peatlead/tables/log_reader.py
+++ b/peatlead/tables/log_reader.py
@@ -36,7 +36,7 @@
             self.problems.append(ReadProblem(str(self._folder), str(error)))
             return
         for path in paths:
-            if path.stem.isdigit():
+            if path.stem.isdecimal():
                 self._read_file(path)
 
     def _read_file(self, path: Path) -> None:
--- a/peatlead/tables/version.py
+++ b/peatlead/tables/version.py
@@ -60,7 +60,7 @@
 def parse_version(text: str) -> Version:
     """Parse a version. Return NO_VERSION if the text is not a version."""
     epoch, dot, serial = text.partition(".")
-    if dot and epoch.isdigit() and serial.isdigit() and len(text) < VERSION_CHARACTERS_MAX:
+    if dot and epoch.isdecimal() and serial.isdecimal() and len(text) < VERSION_CHARACTERS_MAX:
         return Version(int(epoch), int(serial))
     return NO_VERSION
 
--- a/tests/grpc/test_framing.py
+++ b/tests/grpc/test_framing.py
@@ -22,6 +22,6 @@
                 MessageDeframer().feed(data)
             self.assertEqual(caught.exception.status, status)
         self.assertEqual(
-            [parse_timeout(text) for text in ("3S", "250m", "x", "1", "999999999H", "")],
-            [3.0, 0.25, None, None, None, None],
+            [parse_timeout(text) for text in ("3S", "250m", "x", "1", "999999999H", "", "\u00b2S")],
+            [3.0, 0.25, None, None, None, None, None],
         )
--- a/tests/tables/test_versions.py
+++ b/tests/tables/test_versions.py
@@ -2,7 +2,16 @@
 
 import unittest
 
-from peatlead.tables.version import Digest, Stamp, Version, line_key, parse_line_key, parse_stamp
+from peatlead.tables.version import (
+    NO_VERSION,
+    Digest,
+    Stamp,
+    Version,
+    line_key,
+    parse_line_key,
+    parse_stamp,
+    parse_version,
+)
 
 
 class DigestTest(unittest.TestCase):
@@ -18,6 +27,13 @@
         self.assertNotIn(str(Digest(items)), [str(Digest(other)) for other in others])
 
 
+class VersionTest(unittest.TestCase):
+    def test_digits_that_are_no_decimals_are_no_version(self):
+        self.assertEqual(parse_version("2.1"), Version(2, 1))
+        for malformed in ("\u00b2.1", "2.\u00b9", "2", ".1"):
+            self.assertEqual(parse_version(malformed), NO_VERSION)
+
+
 class LineKeyTest(unittest.TestCase):
     def test_line_keys_are_parsed_and_malformed_keys_are_rejected(self):
         for address in ("10.0.0.1", "2001:db8::7"):
@@ -36,6 +52,10 @@
             with self.assertRaises(ValueError):
                 parse_line_key(malformed)
 
+    def test_a_port_of_digits_that_are_no_decimals_is_named(self):
+        with self.assertRaisesRegex(ValueError, "expected"):
+            parse_line_key("line/k/z/10.0.0.1:\u00b2")
+
 
 class StampTest(unittest.TestCase):
     def test_stamps_are_parsed_and_malformed_stamps_are_rejected(self):
