Withdrawals: a restoration that is owed twice over is counted like any other

Read in the change before: an endpoint that was withdrawn again before its postponed restoration went out was restored later without being counted as an entry of the channel. Its proxies are noted as notified again.

The new test failed on the text before.

--- a/peatlead/planner/withdrawals.py
+++ b/peatlead/planner/withdrawals.py
@@ -44,9 +44,8 @@
         endpoint.withdrawn_at = self.context.now
         endpoint.ever_withdrawn = True
         if withdrawn:
-            for proxy in self.context.unassigned.values():
-                proxy.returned_endpoints.discard(endpoint.id)  # it still ejects the endpoint
             self._withdraw(endpoint)
+            self._cancel_restorations(endpoint)
         else:
             self._restore(endpoint)
 
@@ -91,6 +90,13 @@
             if endpoint.id in proxy.notified_endpoints:
                 proxy.returned_endpoints.add(endpoint.id)
 
+    def _cancel_restorations(self, endpoint: EndpointState) -> None:
+        """Keep the ejections of an endpoint that is withdrawn before it was restored."""
+        for proxy in self.context.unassigned.values():
+            if endpoint.id in proxy.returned_endpoints:
+                proxy.returned_endpoints.remove(endpoint.id)
+                endpoint.notified_proxies[proxy.number] = True
+
     def send(self) -> None:
         """Emit the withdrawals of this batch.
 
--- a/tests/planner/test_withdrawals.py
+++ b/tests/planner/test_withdrawals.py
@@ -160,3 +160,22 @@
         }
         self.assertTrue(in_tables)
         self.assertEqual(in_tables - pairs, set())
+
+    def test_an_endpoint_that_is_withdrawn_again_before_its_restoration_is_restored_later(self):
+        planner = make_planner(endpoints=60, proxies=1, proxies_keep_ejections=True)
+        planner.report_round.completed_rounds = 0  # the proxy keeps its previous table at first
+        planner.decide(101.0, [interface.ProxyConnected(9, 0, 10.0, False)])
+        planner.decide(101.1, [interface.EndpointUpdate("changes", 2, draining(1))])
+        self.assertEqual(planner.proxies[9].notified_endpoints, {0})
+        back = (make_endpoint(0, 0, "ready", 101.0),)
+        planner.budget.backlog.unacknowledged_entries = planner.settings["queue_most"]
+        planner.budget.allowance_since = 101.2  # the entries that are always allowed are used up
+        planner.decide(101.2, [interface.EndpointUpdate("changes", 3, back)])
+        self.assertEqual(planner.proxies[9].returned_endpoints, {0})
+        planner.decide(101.3, [interface.EndpointUpdate("changes", 4, draining(1))])
+        self.assertEqual(planner.proxies[9].returned_endpoints, set())
+        # The restoration that is owed now is counted like any other.
+        self.assertIn(9, planner.endpoints[0].notified_proxies)
+        planner.budget.backlog.unacknowledged_entries = 0.0
+        commands = planner.decide(101.4, [interface.EndpointUpdate("changes", 5, back)])
+        self.assertIn(interface.WithdrawEndpoint(0, False), commands)
