Streams: turns of 20 ms, without a callback for each read that fits

Change: 20 ms, and the time used is forgotten after half a millisecond without a read, when other work has had its turn, in place of a callback.

--- a/peatlead/net/read_scheduler.py
+++ b/peatlead/net/read_scheduler.py
@@ -2,10 +2,11 @@
 
 asyncio reads from every connection that is ready before anything else runs, so without a limit the
 length of a turn grows with the number of busy peers, and with it the delay of all other work. A
-turn therefore handles received data for at most `TURN_SECONDS`. Streams whose data is left pause
-reading and wait. They are served in the order of weighted fair queueing: a stream's data costs its
-size and the time that it took to handle, so a peer that sends little never waits for one that sends
-much (Demers, Keshav and Shenker, 1989).
+turn therefore handles received data for at most `TURN_SECONDS`: short for the peers, and long
+beside the other work of a turn. Streams whose data is left pause reading and wait. They are served
+in the order of weighted fair queueing: a stream's data costs its size and the time that it took to
+handle, so a peer that sends little never waits for one that sends much (Demers, Keshav and Shenker,
+1989).
 """
 
 import asyncio
@@ -13,7 +14,9 @@
 from typing import NamedTuple, Protocol
 from weakref import WeakKeyDictionary
 
-TURN_SECONDS = 0.005  # for received data in one turn of the event loop
+TURN_SECONDS = 0.02  # for received data in one turn of the event loop
+# Time without received data after which other work has had its turn.
+IDLE_SECONDS = 0.0005
 SLICE_BYTES = 4096  # handled at a time
 COST_PER_SECOND = 1 << 20  # bytes that cost as much as one second of handling
 
@@ -61,10 +64,13 @@
         self._virtual_time = 0.0
         self._latest_end = 0.0  # bytes; the latest virtual end of a slice
         self._used_seconds = 0.0  # of the current turn
+        self._last_used_at = 0.0  # seconds on the loop's clock
         self._next_turn_scheduled = False
 
     def receive(self, stream: ScheduledStream, data: bytes) -> None:
         """Handle data that a stream has received, now or in a later turn."""
+        if not self._queue and self._time() >= self._last_used_at + IDLE_SECONDS:
+            self._used_seconds = 0.0
         remaining = data if self._is_exhausted else self._handle(stream, data)
         if remaining:
             stream.unhandled_data = remaining
@@ -89,10 +95,9 @@
         """Handle one slice, and return the seconds that it took."""
         started_at = self._time()
         stream.handle_data(data)
-        seconds = self._time() - started_at
-        if seconds > 0:
-            self._used_seconds += seconds
-            self._schedule_turn()
+        self._last_used_at = self._time()
+        seconds = self._last_used_at - started_at
+        self._used_seconds += seconds
         return seconds
 
     def _enqueue(self, stream: ScheduledStream) -> None:
