--- a/peatlead/net/read_scheduler.py
+++ b/peatlead/net/read_scheduler.py
@@ -67,12 +67,18 @@
         self._last_used_at = 0.0  # seconds on the loop's clock
         self._next_turn_scheduled = False
 
-    def receive(self, stream: ScheduledStream, data: bytes) -> None:
-        """Handle data that a stream has received, now or in a later turn."""
-        if not self._queue and self._time() >= self._last_used_at + IDLE_SECONDS:
+    def receive(self, stream: ScheduledStream, data: bytes, now: float) -> None:
+        """Handle data that a stream has received, now or in a later turn.
+
+        `now` is the time on the loop's clock.
+        """
+        if not self._queue and now >= self._last_used_at + IDLE_SECONDS:
             self._used_seconds = 0.0
-        remaining = data if self._is_exhausted else self._handle(stream, data)
-        if remaining:
+        started_at, remaining = now, data
+        while remaining and not self._is_exhausted and stream.accepts_data:
+            piece, remaining = remaining[:SLICE_BYTES], remaining[SLICE_BYTES:]
+            started_at = self._handle_slice(stream, piece, started_at)
+        if remaining and stream.accepts_data:
             stream.unhandled_data = remaining
             stream.pause_reading()
             self._enqueue(stream)
@@ -81,24 +87,12 @@
     def _is_exhausted(self) -> bool:
         return self._used_seconds >= TURN_SECONDS
 
-    def _handle(self, stream: ScheduledStream, data: bytes) -> bytes:
-        """Handle data until the turn is over, and return the remaining data."""
-        view = memoryview(data)
-        position = 0
-        while position < len(data) and not self._is_exhausted and stream.accepts_data:
-            piece = bytes(view[position : position + SLICE_BYTES])
-            position += len(piece)
-            self._handle_slice(stream, piece)
-        return data[position:] if stream.accepts_data else b""
-
-    def _handle_slice(self, stream: ScheduledStream, data: bytes) -> float:
-        """Handle one slice, and return the seconds that it took."""
-        started_at = self._time()
+    def _handle_slice(self, stream: ScheduledStream, data: bytes, started_at: float) -> float:
+        """Handle one slice, and return the time at its end; `started_at` is the time now."""
         stream.handle_data(data)
         self._last_used_at = self._time()
-        seconds = self._last_used_at - started_at
-        self._used_seconds += seconds
-        return seconds
+        self._used_seconds += self._last_used_at - started_at
+        return self._last_used_at
 
     def _enqueue(self, stream: ScheduledStream) -> None:
         """Add a stream to the queue, with the virtual times of its next slice."""
@@ -133,8 +127,9 @@
         if not stream.accepts_data:
             return
         stream.unhandled_data = data[SLICE_BYTES:]
-        seconds = self._handle_slice(stream, data[:SLICE_BYTES])
-        stream.service_tag += COST_PER_SECOND * seconds
+        started_at = self._time()
+        ended_at = self._handle_slice(stream, data[:SLICE_BYTES], started_at)
+        stream.service_tag += COST_PER_SECOND * (ended_at - started_at)
         self._latest_end = max(self._latest_end, stream.service_tag)
         if not stream.accepts_data:
             stream.unhandled_data = b""
--- a/peatlead/net/streams.py
+++ b/peatlead/net/streams.py
@@ -52,6 +52,7 @@
         self.idle_timer: asyncio.TimerHandle | None = None  # for the next `check_idle`
         self.close_reason: str | None = None  # why this side ended the connection
         self.aborted = False
+        self.is_counted = False  # whether the buffer budget counts bytes of this stream
         # For the read scheduler.
         self.service_tag = 0.0
         self.unhandled_data = b""
@@ -74,6 +75,11 @@
         unsent = 0 if self.transport is None else self.transport.get_write_buffer_size()
         return self.incomplete_bytes() + len(self.unhandled_data) + unsent
 
+    def _count_held_bytes(self) -> None:
+        """Update what the stream holds in the budget."""
+        self.is_counted = self.held_bytes() > 0
+        self.buffer_budget.update(self)
+
     @property
     def accepts_data(self) -> bool:
         """Whether received data is still handled: not after the end or an abort."""
@@ -90,7 +96,7 @@
             self.abort("slow reader")
             return False
         if unsent:
-            self.buffer_budget.update(self)
+            self._count_held_bytes()
         return not self.aborted
 
     def close(self) -> None:
@@ -127,15 +133,15 @@
         This is an asyncio callback.
         """
         self.last_activity = self.loop.time()
-        self.read_scheduler.receive(self, bytes(READ_BUFFER_VIEW[:size]))
+        self.read_scheduler.receive(self, bytes(READ_BUFFER_VIEW[:size]), self.last_activity)
         if self.unhandled_data:
-            self.buffer_budget.update(self)
+            self._count_held_bytes()
 
     def handle_data(self, data: bytes) -> None:
         """Pass received data to `received`, and measure what is kept of it."""
         self.received(data)
-        if self.transport is not None:
-            self.buffer_budget.update(self)
+        if self.transport is not None and (self.is_counted or self.incomplete_bytes()):
+            self._count_held_bytes()
 
     def pause_reading(self) -> None:
         """Receive no more data."""
--- a/tests/net/test_read_scheduler.py
+++ b/tests/net/test_read_scheduler.py
@@ -53,6 +53,9 @@
         self.scheduler = ReadScheduler(self.loop)
         self.log = []
 
+    def receive(self, stream, data):
+        self.scheduler.receive(stream, data, self.loop.time())
+
     def streams(self, count):
         return [FakeStream(self.loop, self.log) for _ in range(count)]
 
@@ -62,7 +65,7 @@
             streams = self.streams(count)
             started_at = self.loop.now
             for stream in streams:
-                self.scheduler.receive(stream, data)
+                self.receive(stream, data)
             longest = self.loop.now - started_at
             while self.loop.scheduled:
                 started_at = self.loop.now
@@ -74,10 +77,10 @@
 
     def test_a_small_message_does_not_wait_for_streams_with_much_data(self):
         for stream in self.streams(500):
-            self.scheduler.receive(stream, bytes(4 * SLICE_BYTES))
+            self.receive(stream, bytes(4 * SLICE_BYTES))
         self.loop.run_turn()
         newcomer = FakeStream(self.loop, self.log)
-        self.scheduler.receive(newcomer, b"probe")
+        self.receive(newcomer, b"probe")
         self.assertEqual(newcomer.handled, b"")
         self.loop.run_turn()
         self.assertEqual(newcomer.handled, b"probe")
@@ -86,7 +89,7 @@
         expensive = FakeStream(self.loop, self.log, seconds=0.02)
         others = self.streams(3)
         for stream in [expensive, *others]:
-            self.scheduler.receive(stream, bytes(4 * SLICE_BYTES))
+            self.receive(stream, bytes(4 * SLICE_BYTES))
         while self.loop.scheduled:
             self.loop.run_turn()
         last = {stream: number for number, stream in enumerate(self.log)}
@@ -94,12 +97,12 @@
 
     def test_a_stream_with_much_earlier_data_is_not_delayed_once_nobody_waits(self):
         busy = FakeStream(self.loop, self.log)
-        self.scheduler.receive(busy, bytes(100 * SLICE_BYTES))
+        self.receive(busy, bytes(100 * SLICE_BYTES))
         while self.loop.scheduled:
             self.loop.run_turn()
         rivals = self.streams(20)
         for stream in [*rivals, busy]:
-            self.scheduler.receive(stream, bytes(4 * SLICE_BYTES))
+            self.receive(stream, bytes(4 * SLICE_BYTES))
         handled_before = len(busy.handled)
         for _ in range(5):
             self.loop.run_turn()
@@ -109,7 +112,7 @@
         # Guards against work for a client that is gone.
         first, second = self.streams(2)
         for stream in (first, second):
-            self.scheduler.receive(stream, bytes(16 * SLICE_BYTES))
+            self.receive(stream, bytes(16 * SLICE_BYTES))
         handled = len(second.handled)
         second.accepts_data = False
         while self.loop.scheduled:
