Streams: the state of an event loop no longer keeps the loop alive

Seen on reading the change: the read scheduler and the buffer budget were found by their loop in a WeakKeyDictionary, and refer to that loop (its clock, its streams). A weak key whose value holds it is never dropped, so that no loop was ever freed.

The fraction of memory that both controllers derive the budget's limit from stands in one place.

--- a/peatlead/controller/controller.py
+++ b/peatlead/controller/controller.py
@@ -38,7 +38,6 @@
 # Added to the controller's seed, so that the parts have independent random generators.
 SECONDARIES_SEED_OFFSET = 7
 OVERLOAD_SEED_OFFSET = 11
-BUFFER_MEMORY_FRACTION = 0.25  # of the memory limit, for what peers make the controller buffer
 
 DEFAULT_BOOT = b"\1" * 8
 
@@ -69,7 +68,7 @@
         wall_clock: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._read_settings(settings, name)
-        self._limit_buffers()
+        buffer_budget(asyncio.get_running_loop()).set_memory(settings["limits"]["memory_most"])
         seed: int = self.own_settings["seed"]
         super().__init__(
             create_planner(
@@ -111,11 +110,6 @@
         # The planner's number of each view, by the view's index.
         self.view_numbers: list[int] = [view.number for view in self.views.views]
 
-    def _limit_buffers(self) -> None:
-        """Limit what clients and proxies can make this controller buffer."""
-        memory = self.settings["limits"]["memory_most"]
-        buffer_budget(asyncio.get_running_loop()).limit = int(BUFFER_MEMORY_FRACTION * memory)
-
     def _register_command_handlers(self) -> None:
         """Register handlers for the commands that concern this controller itself."""
         self.command_handlers.update(
--- a/peatlead/net/buffer_budget.py
+++ b/peatlead/net/buffer_budget.py
@@ -7,9 +7,11 @@
 
 import asyncio
 from typing import Protocol
-from weakref import WeakKeyDictionary
+
+from .loop_state import loop_state
 
 DEFAULT_LIMIT = 64 << 20  # bytes
+MEMORY_FRACTION = 0.25  # of the memory of a process, for what its peers make it buffer
 BUFFER_OVERLOAD = "peers hold too much memory"  # why a connection was aborted
 
 
@@ -32,6 +34,10 @@
         self.aborted_count = 0  # connections aborted so far
         self._held: dict[BufferHolder, int] = {}  # bytes, oldest connection first
 
+    def set_memory(self, memory: float) -> None:
+        """Derive the limit from the memory that the process may use, in bytes."""
+        self.limit = int(MEMORY_FRACTION * memory)
+
     def update(self, holder: BufferHolder) -> None:
         """Measure a connection again; abort those that hold most if the budget is exceeded."""
         held = holder.held_bytes()
@@ -59,12 +65,6 @@
         largest.abort(BUFFER_OVERLOAD)
 
 
-_budgets: WeakKeyDictionary[asyncio.AbstractEventLoop, BufferBudget] = WeakKeyDictionary()
-
-
 def buffer_budget(loop: asyncio.AbstractEventLoop) -> BufferBudget:
     """Return the budget of an event loop."""
-    budget = _budgets.get(loop)
-    if budget is None:
-        budget = _budgets[loop] = BufferBudget()
-    return budget
+    return loop_state(loop, "buffer_budget", BufferBudget)
--- a/peatlead/net/read_scheduler.py
+++ b/peatlead/net/read_scheduler.py
@@ -12,7 +12,8 @@
 import asyncio
 import heapq
 from typing import NamedTuple, Protocol
-from weakref import WeakKeyDictionary
+
+from .loop_state import loop_state
 
 TURN_SECONDS = 0.02  # for received data in one turn of the event loop
 # Time without received data after which other work has had its turn.
@@ -54,7 +55,6 @@
     """The streams of one event loop that wait for their received data to be handled."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        # Weak, since the scheduler is found by its loop.
         self._time = loop.time
         self._call_soon = loop.call_soon
         self._queue: list[WaitingStream] = []
@@ -139,12 +139,6 @@
             stream.resume_reading()
 
 
-_schedulers: WeakKeyDictionary[asyncio.AbstractEventLoop, ReadScheduler] = WeakKeyDictionary()
-
-
 def read_scheduler(loop: asyncio.AbstractEventLoop) -> ReadScheduler:
     """Return the scheduler of an event loop."""
-    scheduler = _schedulers.get(loop)
-    if scheduler is None:
-        scheduler = _schedulers[loop] = ReadScheduler(loop)
-    return scheduler
+    return loop_state(loop, "read_scheduler", lambda: ReadScheduler(loop))
--- a/peatlead/platform/controller.py
+++ b/peatlead/platform/controller.py
@@ -40,7 +40,6 @@
 # seconds for the whole stop.
 STOP_TIMEOUT = 0.4
 FORGET_INTERVAL = 5.0  # seconds between calls of `forget_unused_endpoints`
-BUFFER_MEMORY_FRACTION = 0.25  # of the memory limit, for what peers make the controller buffer
 MAX_DIFFERENCES_LOGGED = 20  # differing names of a new configuration
 
 MakePlanner = Callable[[Settings, int], Planner]  # takes the settings and a seed
@@ -91,7 +90,7 @@
     def open_transports(self) -> None:
         """Create the listener, the watch and the prober without starting them."""
         configuration = self.configuration
-        buffer_budget(self.loop).limit = int(configuration.memory * BUFFER_MEMORY_FRACTION)
+        buffer_budget(self.loop).set_memory(configuration.memory)
         max_checks = max_concurrent_checks(configuration.sockets)
         self.listener = SessionListener(self, configuration.sockets, max_checks)
         self.watch = EndpointWatch(
