Planner: costs of messages and sizes of shards are computed in one place, once

The cost of a message with its overhead stood in four places, the pools of a shard were built twice for each table, and the expected cost of a table was computed for each proxy that joined although nothing was withdrawn. Waiting proxies are sorted by deadline with a stable sort in place of tuples.

--- a/peatlead/planner/channel_budget.py
+++ b/peatlead/planner/channel_budget.py
@@ -87,7 +87,7 @@
 
     def has_room(self, fraction: float = TABLE_QUEUE_FRACTION) -> bool:
         """Return whether less than a fraction of the maximum queue is in use."""
-        return bool(self.backlog.queued_entries < fraction * self.context.settings["queue_most"])
+        return self.has_room_for_entries(0.0, fraction)
 
     def has_room_for_table(self, urgent: bool) -> bool:
         """Return whether the queue has room for a whole table.
@@ -96,6 +96,10 @@
         """
         return self.has_room(URGENT_TABLE_QUEUE_FRACTION if urgent else TABLE_QUEUE_FRACTION)
 
+    def message_cost(self, entries: float) -> float:
+        """Return the cost of a message with its overhead and its nonce, in entries."""
+        return entries + self.context.settings["message_head"] + 1
+
     def has_room_for_entries(self, entries: float, fraction: float = MAX_ENTRIES_FRACTION) -> bool:
         """Return whether more entries leave the queue below a fraction of its maximum."""
         limit = fraction * self.context.settings["queue_most"]
--- a/peatlead/planner/shuffle_sharding.py
+++ b/peatlead/planner/shuffle_sharding.py
@@ -58,7 +58,7 @@
     def shard(self, proxy: ProxyState, group: int) -> Shard:
         """Return the current shard of a proxy for a group."""
         pools = self.pools.allowed_pools(group, proxy.zone)
-        counts = self.shard_sizes(group, proxy.zone)
+        counts = self._sizes(group, proxy.zone, pools)
         endpoints_by_zone = {
             zone: self._ranked(proxy, group, zone, pool, counts[zone])
             for zone, pool in pools.items()
@@ -66,13 +66,16 @@
         return Shard(endpoints_by_zone, pools)
 
     def shard_sizes(self, group: int, proxy_zone: int) -> dict[int, int]:
-        """Return how many endpoints of each zone are in the shards of a zone's proxies for a group.
+        """Return the sizes, by zone, of the shards of a zone's proxies for a group."""
+        return self._sizes(group, proxy_zone, self.pools.allowed_pools(group, proxy_zone))
+
+    def _sizes(self, group: int, proxy_zone: int, pools: Pools) -> dict[int, int]:
+        """Return the sizes of the shards from the pools that a zone's proxies may use.
 
         The zone plan determines how a shard is divided among the zones. The shard is so large that
         about `COVERAGE` proxies use each endpoint, but requires no more endpoints of a zone than
         its pool has.
         """
-        pools = self.pools.allowed_pools(group, proxy_zone)
         densities = self.zone_capacity.plan.get((group, proxy_zone), {})
         default_density = 0.0 if densities else 1.0
         zone_targets = {
--- a/peatlead/planner/table_assignment.py
+++ b/peatlead/planner/table_assignment.py
@@ -121,7 +121,7 @@
             self._assignment_cost(sum(shard_sizes(group, proxy.zone).values()))
             for group in range(len(self.pools.groups))
         ]
-        return sum(tables) + self.context.settings["message_head"] + 1
+        return self.budget.message_cost(sum(tables))
 
     def keeps_previous_table(self, proxy: ProxyState) -> bool:
         """Return whether the proxy keeps the table of its previous controller for now.
--- a/peatlead/planner/withdrawals.py
+++ b/peatlead/planner/withdrawals.py
@@ -124,22 +124,22 @@
 
     def _notify_waiting(self, proxies_to_notify: dict[int, list[int]]) -> None:
         """Add waiting proxies to `proxies_to_notify`, by endpoint, while the channel has room."""
-        overhead = self.context.settings["message_head"] + 1
         for proxy in self._unnotified_proxies():
             endpoints = self._endpoints_to_name(proxy)
             if proxy.needs_table:
                 continue
-            if endpoints and not self.budget.has_room_for_withdrawals(len(endpoints) + overhead):
+            cost = self.budget.message_cost(len(endpoints))
+            if endpoints and not self.budget.has_room_for_withdrawals(cost):
                 break
             self._notify(proxy, endpoints, proxies_to_notify)
 
     def _restore_returned_endpoints(self) -> None:
         """Restore endpoints at waiting proxies that still eject them, while there is room."""
-        overhead = self.context.settings["message_head"] + 1
         for proxy in self.context.unassigned.values():
             if not proxy.returned_endpoints:
                 continue
-            if not self.budget.has_room_for_withdrawals(len(proxy.returned_endpoints) + overhead):
+            cost = self.budget.message_cost(len(proxy.returned_endpoints))
+            if not self.budget.has_room_for_withdrawals(cost):
                 return
             for endpoint in proxy.returned_endpoints:
                 self.context.endpoints[endpoint].ejecting_proxies.discard(proxy.number)
@@ -168,14 +168,12 @@
         If all waiting proxies get their tables in time, only those that keep their previous table
         must be notified.
         """
-        by_deadline = sorted(
-            [
-                (proxy.unnotified_since, position, proxy)
-                for position, proxy in enumerate(self.context.unassigned.values())
-                if proxy.unnotified_since is not None and not proxy.needs_table
-            ]
-        )
-        unnotified = [proxy for _, _, proxy in by_deadline]
+        unnotified = [
+            proxy
+            for proxy in self.context.unassigned.values()
+            if proxy.unnotified_since is not None and not proxy.needs_table
+        ]
+        unnotified.sort(key=lambda proxy: proxy.unnotified_since or 0.0)
         if unnotified and self.assignment.tables_fit_in_time():
             return [proxy for proxy in unnotified if self.assignment.keeps_previous_table(proxy)]
         return unnotified
@@ -186,13 +184,13 @@
         Sets `needs_table` of a proxy that may have no endpoint left, or whose table can be sent at
         a lower cost: the table also ends the use of every endpoint that it does not name.
         """
-        overhead = self.context.settings["message_head"] + 1
-        table_cost = self.assignment.expected_cost(proxy)
         endpoints = self.previous_tables.possible(proxy) - proxy.notified_endpoints
         if not endpoints:
             return endpoints
+        table_cost = self.assignment.expected_cost(proxy)
         proxy.may_have_no_endpoint = self.previous_tables.may_be_unusable(proxy)
-        if len(endpoints) + overhead > MAX_FULL_NOTIFICATION_COST * table_cost:
+        if self.budget.message_cost(len(endpoints)) > MAX_FULL_NOTIFICATION_COST * table_cost:
             endpoints = self.previous_tables.likely(proxy) - proxy.notified_endpoints
-        proxy.needs_table = proxy.may_have_no_endpoint or len(endpoints) + overhead >= table_cost
+        cost = self.budget.message_cost(len(endpoints))
+        proxy.needs_table = proxy.may_have_no_endpoint or cost >= table_cost
         return endpoints
--- a/tests/simulated_platform.py
+++ b/tests/simulated_platform.py
@@ -72,8 +72,8 @@
     """Controllers, proxies and the endpoint list.
 
     `settings` override FLEET_SETTINGS. Requests of the classes `own_zone_classes` stay in the zone
-    of their proxy. The channels have `channel_slowdown` times less than the configured rate, and a
-    message reaches its proxy after a time drawn from `delivery_delay`, in seconds.
+    of their proxy. The channels have the configured rate divided by `channel_slowdown`, and a message
+    reaches its proxy after a time drawn from `delivery_delay`, in seconds.
     """
 
     def __init__(
